--- /dev/null
+++ b/Libraries/Base/Clock.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <chrono>
+#include <compare>
+#include <cstdint>
+
+namespace Toucan {
+
+/// A duration or a point on a clock, in milliseconds. Fractions are kept, so that latencies below one millisecond
+/// can be measured.
+struct Milliseconds {
+    double value { 0 };
+
+    constexpr auto operator<=>(Milliseconds const&) const = default;
+    constexpr Milliseconds operator+(Milliseconds other) const { return { this->value + other.value }; }
+    constexpr Milliseconds operator-(Milliseconds other) const { return { this->value - other.value }; }
+    constexpr Milliseconds operator*(double factor) const { return { this->value * factor }; }
+    constexpr Milliseconds& operator+=(Milliseconds other)
+    {
+        this->value += other.value;
+        return *this;
+    }
+};
+
+constexpr Milliseconds operator""_ms(unsigned long long value) { return { static_cast<double>(value) }; }
+
+/// Reads the machine's clocks. Code in Engine never calls it; it gets the time as an argument.
+class Clock {
+public:
+    /// Monotonic time since an arbitrary start; for durations and deadlines.
+    static Milliseconds now() { return fromChrono(std::chrono::steady_clock::now().time_since_epoch()); }
+
+    /// Time since the Unix epoch; for key times, incarnations and histories. It can jump.
+    static Milliseconds wallClock() { return fromChrono(std::chrono::system_clock::now().time_since_epoch()); }
+
+private:
+    template <typename Duration> static Milliseconds fromChrono(Duration duration)
+    {
+        return { std::chrono::duration<double, std::milli>(duration).count() };
+    }
+};
+
+} // namespace Toucan
--- /dev/null
+++ b/Libraries/Base/Hash.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace Toucan {
+
+/// XXH64 of the bytes with the given seed.
+uint64_t hash64(std::string_view bytes, uint64_t seed = 0);
+
+/// XXH3 with 128 bits as 32 hexadecimal digits; names the immutable parts of a configuration.
+std::string contentHash(std::string_view bytes);
+
+} // namespace Toucan
--- /dev/null
+++ b/Libraries/Engine/ConfigurationState.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "Configuration/ConfigurationParts.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Toucan {
+
+/// A root with the part texts that the receiver lacks, from the store or from a peer.
+struct ConfigurationUpdate {
+    ConfigurationRoot root;
+    /// Content hash to text.
+    std::map<std::string, std::string> parts;
+};
+
+/// The version in force on this node, its parts, and how it spreads to peers. Installs only higher versions.
+/// Has no I/O; not thread-safe.
+class ConfigurationState {
+public:
+    struct Hooks {
+        /// Called after a higher version was installed.
+        std::function<void(ConfigurationPointer const&)> installed;
+        /// Sends a digest to each of `count` random peers, to spread a new version.
+        std::function<void(size_t count)> pushDigest;
+        std::function<void(std::string const& peer)> sendDigest;
+        /// Asks a peer for its root and for those parts of it that this node lacks.
+        std::function<void(std::string const& peer, std::vector<std::string> const& knownHashes)> fetch;
+        /// Asks the control thread to read the root and missing parts from the store.
+        std::function<void(std::vector<std::string> const& knownHashes)> readStore;
+        /// Turns this node's watch of the root on or off.
+        std::function<void(bool watching)> setWatching;
+        std::function<bool(std::string const& node)> isAlive;
+    };
+
+    ConfigurationState(Hooks hooks, std::string nodeName);
+    ~ConfigurationState();
+
+    uint64_t version() const;
+    ConfigurationPointer const& current() const;
+    void onPeerVersion(std::string const& peer, uint64_t peerVersion, Milliseconds now);
+    void onUpdate(ConfigurationUpdate&& update, Milliseconds now);
+    /// Result of a store read that found nothing newer, or failed.
+    void onStoreRead(bool reachable, Milliseconds now);
+    /// Root and the parts that the asking peer lacks; version 0 when there is none yet.
+    ConfigurationUpdate answerFetch(std::vector<std::string> const& knownHashes) const;
+    void onMembershipChanged(Milliseconds now);
+    void onPeerHeard(Milliseconds now);
+    /// False without a configuration, or when neither store nor peer was heard within the bound.
+    bool ready(Milliseconds now) const;
+    void advance(Milliseconds now);
+    Milliseconds nextWakeup() const;
+
+private:
+    class Implementation;
+    std::unique_ptr<Implementation> implementation;
+};
+
+} // namespace Toucan
--- /dev/null
+++ b/Libraries/Engine/Coordinator.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "Configuration/Configuration.h"
+#include "Engine/Messages.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace Toucan {
+
+/// Entry side of a query: pins a snapshot, sends one part request for each shard, hedges and retries within the
+/// budget, merges the parts and answers with the true coverage. Also runs the single attempt of a command.
+/// Has no I/O; not thread-safe.
+class Coordinator {
+public:
+    struct Hooks {
+        /// Sends the part to the carrier of its target. The result comes back through onPartResult(), possibly at once.
+        std::function<void(PartRequest const&)> sendPart;
+        std::function<void(AttemptId const&, std::string const& target)> cancelPart;
+        std::function<void(CallerAnswer&&)> answer;
+        /// Ends a run that startCommand() began.
+        std::function<void(CommandVerdict&&)> commandFinished;
+        /// Uniformly distributed in [0, 1).
+        std::function<double()> random;
+    };
+
+    /// `attemptPrefix` ("node/incarnation") makes attempt ids unique over all nodes and restarts.
+    Coordinator(Hooks hooks, std::string attemptPrefix);
+    ~Coordinator();
+
+    void setConfiguration(ConfigurationPointer configuration, Milliseconds now);
+    void startQuery(CallerRequest&& request, Milliseconds now);
+    /// The caller closed its connection; its attempts are cancelled and no answer is given.
+    void abandon(RequestHandle handle, Milliseconds now);
+    /// Runs a command at most once: one attempt, and another one only after a result that certainly did not run.
+    void startCommand(CommandRequest const& command, Milliseconds now);
+    void onPartResult(PartResult&& result, Milliseconds now);
+    /// Evidence that a target is leaving, from a carrier's digest or the VM list.
+    void noteTargetState(std::string const& target, TargetState state, Milliseconds now);
+    void advance(Milliseconds now);
+    /// Time at which advance() must be called next.
+    Milliseconds nextWakeup() const;
+    size_t running() const;
+    /// Counters and the state of targets, for the view and metrics.
+    Json::Value describe(Milliseconds now) const;
+
+private:
+    class Implementation;
+    std::unique_ptr<Implementation> implementation;
+};
+
+} // namespace Toucan
--- /dev/null
+++ b/Libraries/Engine/KeyOwner.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "Configuration/Configuration.h"
+#include "Engine/Messages.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace Toucan {
+
+/// Record of one key range in the store. `owner` alone may decide about keys with from <= key time < until.
+struct OwnershipRecord {
+    uint32_t range { 0 };
+    std::string owner;
+    /// Start time of the owner's process in wall-clock milliseconds.
+    uint64_t incarnation { 0 };
+    /// Key times are the 48-bit wall-clock milliseconds of UUIDv7.
+    uint64_t from { 0 };
+    uint64_t until { 0 };
+    /// mod_revision in the store; not part of the stored value; 0 when the key does not exist.
+    uint64_t revision { 0 };
+};
+
+/// Time field of a UUIDv7 (RFC 9562, section 5.7) in Unix milliseconds; empty when the text is not a UUIDv7.
+std::optional<uint64_t> requestKeyTime(std::string_view key);
+uint32_t keyRange(std::string_view key, uint32_t ranges);
+
+/// At-most-once execution of commands for the key ranges that this node owns, and the state machine that claims,
+/// extends and gives up ranges. Has no I/O; not thread-safe.
+class KeyOwner {
+public:
+    struct Hooks {
+        /// Compare-and-swap of one record; the answer comes back through onWriteResult().
+        std::function<void(OwnershipRecord const& next, uint64_t expectedRevision)> write;
+        /// Runs the command (Coordinator::startCommand); ends with onCommandFinished().
+        std::function<void(CommandRequest const&)> run;
+        /// Verdict for the node and request that submitted the command.
+        std::function<void(std::string const& sender, CommandVerdict&&)> reply;
+        /// Whether a node may be expected to claim its ranges.
+        std::function<bool(std::string const& node)> isAlive;
+    };
+    enum class WriteResult {
+        Accepted,
+        Conflict,
+        /// The answer was lost or the store is down; the record must be read back.
+        Unknown,
+    };
+
+    KeyOwner(Hooks hooks, std::string nodeName, uint64_t incarnation);
+    ~KeyOwner();
+
+    void setConfiguration(ConfigurationPointer configuration, Milliseconds now);
+    void submit(std::string const& sender, CommandRequest&& command, Milliseconds now);
+    void onCommandFinished(CommandVerdict&& verdict, Milliseconds now);
+    /// Records read from the store or heard from peers; older revisions are ignored.
+    void onRecord(OwnershipRecord const& record, Milliseconds now);
+    /// `current` is the record in the store when it is known.
+    void onWriteResult(uint32_t range, WriteResult result, std::optional<OwnershipRecord> current, Milliseconds now);
+    /// Planned stop: stops claiming, gives up each range once its running commands have ended.
+    void release(Milliseconds now);
+    bool ownsNothing() const;
+    /// Node that may decide about the key; empty when no known record covers it.
+    std::string ownerOf(std::string_view key) const;
+    std::map<uint32_t, OwnershipRecord> const& records() const;
+    /// `wallClock` is used only to propose `until`; safety does not depend on it.
+    void advance(Milliseconds now, Milliseconds wallClock);
+    Milliseconds nextWakeup() const;
+    Json::Value describe() const;
+
+private:
+    class Implementation;
+    std::unique_ptr<Implementation> implementation;
+};
+
+} // namespace Toucan
--- /dev/null
+++ b/Libraries/Engine/Membership.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "Base/Clock.h"
+
+#include <cstdint>
+#include <functional>
+#include <json/value.h>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Toucan {
+
+enum class PeerState {
+    Unknown,
+    Alive,
+    Suspect,
+    Dead,
+    Leaving,
+};
+
+struct Peer {
+    std::string name;
+    /// IP address and port of the peer listener.
+    std::string address;
+    std::string failureDomain;
+    uint64_t incarnation { 0 };
+    PeerState state { PeerState::Unknown };
+};
+
+/// One entry of the platform's list of VMs.
+struct VmEntry {
+    std::string name;
+    std::string address;
+    std::string failureDomain;
+    enum class State {
+        Live,
+        Leaving,
+    } state { State::Live };
+};
+
+/// Liveness of the other nodes by constant-fanout probing as in SWIM, the VM list and what is heard on connections.
+/// Has no I/O; not thread-safe.
+class Membership {
+public:
+    struct Hooks {
+        /// Sends a direct probe, or asks `via` to probe `peer` when `via` is not empty.
+        std::function<void(std::string const& peer, std::string const& via, uint64_t probeNumber)> sendProbe;
+        /// Called on each change of a peer's state.
+        std::function<void(Peer const&)> stateChanged;
+        std::function<double()> random;
+    };
+
+    Membership(Hooks hooks, Peer self);
+    ~Membership();
+
+    /// Addresses from the settings, used until the VM list or a digest is known.
+    void seed(std::vector<Peer> const& peers, Milliseconds now);
+    void onVmList(std::vector<VmEntry> const& list, Milliseconds now);
+    /// A peer's own word or a digest's about a third node; a higher incarnation replaces a lower one.
+    void onPeerHeard(Peer const& peer, Milliseconds now);
+    /// A member entry in a digest of another node.
+    void onRumor(Peer const& peer, Milliseconds now);
+    void onProbeAnswer(std::string const& peer, uint64_t probeNumber, Milliseconds now);
+    void onConnectionBroken(std::string const& peer, Milliseconds now);
+    void announceLeaving(Milliseconds now);
+    bool usable(std::string const& name) const;
+    /// Null when the name is unknown.
+    Peer const* find(std::string const& name) const;
+    std::vector<Peer> peers() const;
+    /// Up to `count` distinct usable peers, chosen at random; unknown ones fill up when there are too few.
+    std::vector<std::string> randomPeers(size_t count) const;
+    /// A bounded selection of entries to send in a digest, most recently changed first.
+    std::vector<Peer> digestEntries(size_t limit) const;
+    void advance(Milliseconds now);
+    Milliseconds nextWakeup() const;
+
+private:
+    class Implementation;
+    std::unique_ptr<Implementation> implementation;
+};
+
+} // namespace Toucan
--- /dev/null
+++ b/Libraries/Engine/Messages.h
@@ -0,0 +1,212 @@
+#pragma once
+
+#include "Base/Clock.h"
+#include "Base/Outcome.h"
+
+#include <cstdint>
+#include <json/value.h>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Toucan {
+
+/// Identifies a caller's session inside one process.
+using RequestHandle = uint64_t;
+/// Unique over all nodes and restarts: "node/incarnation/number".
+using AttemptId = std::string;
+using SharedText = std::shared_ptr<std::string const>;
+
+enum class Idempotence {
+    Idempotent,
+    NonIdempotent,
+};
+
+/// A caller's request after HTTP has been read.
+struct CallerRequest {
+    RequestHandle handle { 0 };
+    std::string requestId;
+    std::string service;
+    Idempotence idempotence { Idempotence::Idempotent };
+    /// Priority class name; empty for the rule's.
+    std::string priority;
+    /// Time that the caller allows; zero for the rule's.
+    Milliseconds allowed;
+    Milliseconds received;
+    SharedText body;
+    /// Most hits in the merged answer; zero for no bound.
+    uint32_t limit { 0 };
+    /// UUIDv7 of a non-idempotent request.
+    std::string requestKey;
+    /// Chooses the shard of a non-idempotent request.
+    std::string record;
+};
+
+struct Coverage {
+    uint32_t shards { 0 };
+    uint32_t merged { 0 };
+    std::vector<uint32_t> missing;
+    bool whole() const { return this->shards > 0 && this->merged == this->shards; }
+};
+
+/// RFC 9457 problem details.
+struct Problem {
+    /// Last path segment of the problem type, for example "deadline-exceeded".
+    std::string type;
+    std::string title;
+    std::string detail;
+    std::string remedy;
+};
+
+struct CallerAnswer {
+    RequestHandle handle { 0 };
+    std::string requestId;
+    std::string service;
+    /// HTTP status.
+    int status { 200 };
+    Outcome outcome { Outcome::Unknown };
+    std::string snapshot;
+    Coverage coverage;
+    Json::Value hits { Json::arrayValue };
+    Milliseconds total;
+    Milliseconds queued;
+    /// Set when status is not 200.
+    Problem problem;
+};
+
+/// One attempt to get one shard's part from one target.
+struct PartRequest {
+    AttemptId attempt;
+    std::string requestId;
+    std::string service;
+    std::string target;
+    std::string snapshot;
+    uint32_t shard { 0 };
+    uint32_t classIndex { 0 };
+    /// Time left when the message is sent; the receiver counts from its own clock.
+    Milliseconds remaining;
+    Idempotence idempotence { Idempotence::Idempotent };
+    std::string requestKey;
+    SharedText body;
+};
+
+enum class PartStatus {
+    Complete,
+    /// Body shorter than announced, or `complete` not true.
+    Truncated,
+    /// Echoed ids, snapshot or shard differ from the request.
+    Mismatch,
+    SnapshotGone,
+    /// The target did not start because it sheds load or drains.
+    Shed,
+    /// The carrier refused before sending: queue full, or the expected wait exceeds the time left.
+    Refused,
+    /// The time ran out in the carrier's queue, before sending.
+    ExpiredInQueue,
+    /// The time ran out after sending.
+    DeadlineExceeded,
+    Cancelled,
+    /// No connection could be made; nothing was sent.
+    ConnectFailed,
+    /// The connection broke after the request was at least partly sent.
+    ConnectionLost,
+    /// The target answered with an error after it may have started.
+    TargetError,
+    /// No living carrier; nothing was sent.
+    NoCarrier,
+};
+
+/// True when no byte can have reached a target, or the target says that it did not start.
+constexpr bool certainlyNotRun(PartStatus status)
+{
+    switch (status) {
+    case PartStatus::SnapshotGone:
+    case PartStatus::Shed:
+    case PartStatus::Refused:
+    case PartStatus::ExpiredInQueue:
+    case PartStatus::ConnectFailed:
+    case PartStatus::NoCarrier:
+        return true;
+    default:
+        return false;
+    }
+}
+
+enum class TargetState {
+    Serving,
+    Starting,
+    Draining,
+};
+
+struct TargetLoad {
+    uint32_t running { 0 };
+    uint32_t queued { 0 };
+    uint32_t slots { 0 };
+};
+
+/// Result of one attempt, with what the carrier knows about the target.
+struct PartResult {
+    AttemptId attempt;
+    std::string target;
+    PartStatus status { PartStatus::TargetError };
+    std::string requestId;
+    std::string snapshot;
+    uint32_t shard { 0 };
+    Json::Value hits { Json::arrayValue };
+    /// Time between sending to the target and its answer.
+    Milliseconds service;
+    /// Time in the carrier's queue.
+    Milliseconds queued;
+    /// Set with Shed.
+    Milliseconds retryAfter;
+    TargetState state { TargetState::Serving };
+    TargetLoad load;
+    /// Parts waiting in the carrier's queue before this target.
+    uint32_t carrierQueue { 0 };
+};
+
+/// What the network layer reports for one HTTP exchange with a target.
+struct TargetAnswer {
+    AttemptId attempt;
+    std::string target;
+    /// HTTP status, or 0 when there was no whole answer.
+    int status { 0 };
+    enum class Transport {
+        Answered,
+        ConnectFailed,
+        Broken,
+        TimedOut,
+    } transport { Transport::Answered };
+    /// Parsed body; null when it was not JSON.
+    Json::Value body;
+    TargetLoad load;
+    TargetState state { TargetState::Serving };
+    /// Header Toucan-Started: no.
+    bool startedDenied { false };
+    Milliseconds retryAfter;
+};
+
+/// A non-idempotent request on its way to the owner of its key.
+struct CommandRequest {
+    std::string requestKey;
+    std::string requestId;
+    std::string service;
+    std::string record;
+    uint32_t classIndex { 0 };
+    Milliseconds remaining;
+    SharedText body;
+};
+
+/// The owner's final word on a key, or why it could not decide.
+struct CommandVerdict {
+    std::string requestKey;
+    std::string requestId;
+    Outcome outcome { Outcome::Unknown };
+    int status { 200 };
+    std::string snapshot;
+    uint32_t shard { 0 };
+    Json::Value hits { Json::arrayValue };
+    Problem problem;
+};
+
+} // namespace Toucan
