Share one VM list entry between the platform client and membership

Cause: two structs described the same entry. Change: VmEntry moved to Configuration, which both libraries may use.

--- a/Libraries/Engine/Membership.h
+++ b/Libraries/Engine/Membership.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Base/Clock.h"
+#include "Configuration/VmEntry.h"
 
 #include <cstdint>
 #include <functional>
@@ -29,17 +30,6 @@
     PeerState state { PeerState::Unknown };
 };
 
-/// One entry of the platform's list of VMs.
-struct VmEntry {
-    std::string name;
-    std::string address;
-    std::string failureDomain;
-    enum class State {
-        Live,
-        Leaving,
-    } state { State::Live };
-};
-
 /// Liveness of the other nodes by constant-fanout probing as in SWIM, the VM list and what is heard on connections.
 /// Has no I/O; not thread-safe.
 class Membership {
