Add tg-target, the stand-in for many targets in one process

Cause: tests and measurements need targets whose slots, queues, connection limits, cold starts and faults are exact and can be set from outside.

Change: Libraries/Bench gets an epoll loop with a timer heap, buffered streams, HTTP sessions read by POCO's HTTPRequest, and TargetStandIn with its control interface and history.

--- /dev/null
+++ b/Libraries/Bench/BenchLoop.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "Base/Clock.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <queue>
+#include <unordered_map>
+#include <vector>
+
+/// Stand-ins for targets, the network and callers, used by tests and measurements.
+namespace Toucan::Bench {
+
+/// Event loop of one thread: file descriptors by epoll and timers by a heap. Not thread-safe.
+class BenchLoop {
+public:
+    using WatchId = uint64_t;
+    using TimerId = uint64_t;
+
+    /// Throws Error of kind Unavailable when the system has no descriptors left.
+    BenchLoop();
+    ~BenchLoop();
+    BenchLoop(BenchLoop const&) = delete;
+    BenchLoop& operator=(BenchLoop const&) = delete;
+
+    /// `events` are epoll flags. The descriptor must stay open until forget().
+    WatchId watch(int descriptor, uint32_t events, std::function<void(uint32_t events)> ready);
+    void change(WatchId watch, uint32_t events);
+    void forget(WatchId watch);
+    /// Calls `action` once at a time of Clock::now().
+    TimerId schedule(Milliseconds at, std::function<void()> action);
+    /// Does nothing for a timer that has fired.
+    void cancel(TimerId timer);
+    /// Makes SIGTERM and SIGINT end run().
+    void stopOnSignals();
+    void run();
+    void stop() { this->stopping = true; }
+
+private:
+    struct Watch {
+        int descriptor { -1 };
+        std::shared_ptr<std::function<void(uint32_t)>> ready;
+    };
+    struct Timer {
+        Milliseconds at;
+        TimerId id { 0 };
+        bool operator>(Timer const& other) const
+        {
+            return this->at != other.at ? this->at > other.at : this->id > other.id;
+        }
+    };
+
+    void runDueTimers();
+    void armTimer();
+    void dropCancelledTimers();
+
+    int epoll { -1 };
+    int alarm { -1 };
+    int signals { -1 };
+    uint64_t lastId { 0 };
+    bool stopping { false };
+    Milliseconds armedFor;
+    std::unordered_map<WatchId, Watch> watches;
+    std::priority_queue<Timer, std::vector<Timer>, std::greater<>> heap;
+    std::unordered_map<TimerId, std::function<void()>> actions;
+};
+
+} // namespace Toucan::Bench
--- /dev/null
+++ b/Libraries/Bench/HttpMessages.cpp
@@ -0,0 +1,81 @@
+#include "Bench/HttpMessages.h"
+
+#include "Base/Error.h"
+
+#include <Poco/Exception.h>
+#include <sstream>
+
+namespace Toucan::Bench {
+
+static constexpr std::string_view headerEnd = "\r\n\r\n";
+static constexpr int statusClientClosedRequest = 499;
+
+template <typename Header, typename Message> static std::optional<Message> takeMessage(std::string& buffer)
+{
+    auto const end = buffer.find(headerEnd);
+    if (end == std::string::npos)
+        return {};
+    auto const headerSize = end + headerEnd.size();
+    Message message;
+    message.header = std::make_shared<Header>();
+    std::streamsize length = 0;
+    try {
+        std::istringstream stream(buffer.substr(0, headerSize));
+        message.header->read(stream);
+        if (message.header->hasContentLength())
+            length = message.header->getContentLength();
+    } catch (Poco::Exception const& exception) {
+        throw Error(ErrorKind::ProtocolViolation, "Bad HTTP header: " + exception.displayText(), "Send HTTP/1.1");
+    }
+    if (message.header->getChunkedTransferEncoding())
+        throw Error(ErrorKind::ProtocolViolation, "Chunked body", "Send Content-Length");
+    auto const whole = headerSize + static_cast<size_t>(length);
+    if (buffer.size() < whole)
+        return {};
+    message.body = buffer.substr(headerSize, static_cast<size_t>(length));
+    buffer.erase(0, whole);
+    return message;
+}
+
+std::optional<HttpRequest> takeRequest(std::string& buffer)
+{
+    return takeMessage<Poco::Net::HTTPRequest, HttpRequest>(buffer);
+}
+
+std::optional<HttpResponse> takeResponse(std::string& buffer)
+{
+    return takeMessage<Poco::Net::HTTPResponse, HttpResponse>(buffer);
+}
+
+static void appendFields(std::string& text, HttpFields const& fields)
+{
+    for (auto const& [name, value] : fields)
+        text.append(name).append(": ").append(value).append("\r\n");
+}
+
+std::string writeRequest(std::string_view method, std::string_view path, std::string_view host,
+    HttpFields const& fields, std::string_view body)
+{
+    std::string text;
+    text.append(method).append(" ").append(path).append(" HTTP/1.1\r\nHost: ").append(host).append("\r\n");
+    appendFields(text, fields);
+    if (!body.empty())
+        text.append("Content-Type: application/json\r\n");
+    text.append("Content-Length: ").append(std::to_string(body.size())).append("\r\n\r\n").append(body);
+    return text;
+}
+
+std::string writeResponse(int status, HttpFields const& fields, std::string_view body)
+{
+    auto const reason = status == statusClientClosedRequest
+        ? std::string("Cancelled")
+        : Poco::Net::HTTPResponse::getReasonForStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status));
+    std::string text = "HTTP/1.1 " + std::to_string(status) + " " + reason + "\r\n";
+    appendFields(text, fields);
+    if (!body.empty())
+        text.append("Content-Type: application/json\r\n");
+    text.append("Content-Length: ").append(std::to_string(body.size())).append("\r\n\r\n").append(body);
+    return text;
+}
+
+} // namespace Toucan::Bench
--- /dev/null
+++ b/Libraries/Bench/HttpMessages.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace Toucan::Bench {
+
+struct HttpRequest {
+    std::shared_ptr<Poco::Net::HTTPRequest> header;
+    std::string body;
+};
+struct HttpResponse {
+    std::shared_ptr<Poco::Net::HTTPResponse> header;
+    std::string body;
+};
+using HttpFields = std::vector<std::pair<std::string, std::string>>;
+
+/// Takes the first whole message from the front of the buffer; empty when it is not whole yet. Bodies need
+/// Content-Length (RFC 9112, section 6.2). Throws Error of kind ProtocolViolation.
+std::optional<HttpRequest> takeRequest(std::string& buffer);
+std::optional<HttpResponse> takeResponse(std::string& buffer);
+
+std::string writeRequest(std::string_view method, std::string_view path, std::string_view host,
+    HttpFields const& fields, std::string_view body);
+/// A JSON response, or an empty one when the body is empty.
+std::string writeResponse(int status, HttpFields const& fields, std::string_view body);
+
+} // namespace Toucan::Bench
--- /dev/null
+++ b/Libraries/Bench/TargetStandIn.h
@@ -0,0 +1,144 @@
+#pragma once
+
+#include "Bench/HistoryWriter.h"
+#include "Bench/HttpSession.h"
+
+#include <cstdint>
+#include <deque>
+#include <json/value.h>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+namespace Toucan::Bench {
+
+/// Behaviour of one target; the members of an entry of "targets" in the settings.
+struct TargetProfile {
+    std::string name;
+    std::string service;
+    std::string address;
+    uint32_t slots { 1 };
+    /// Connections beyond this are closed at once.
+    uint32_t connections { 1 };
+    /// Time from accepting a connection until its first request is read.
+    Milliseconds connect;
+    /// Median of the log-normal service time.
+    Milliseconds serviceTime;
+    /// Standard deviation of the logarithm of the service time.
+    double jitter { 0 };
+    /// Time after the start in which requests take longer and the state is "starting".
+    Milliseconds coldStart;
+    /// Time for which a draining target still starts work; after that it answers 503.
+    Milliseconds drainGrace;
+    /// Snapshot id to the shards that are held.
+    std::map<std::string, std::set<uint32_t>> snapshots;
+
+    /// Throws Error of kind InvalidSettings that names the member.
+    static TargetProfile parse(Json::Value const& settings);
+};
+
+struct TargetCounters {
+    uint64_t started { 0 };
+    uint64_t completed { 0 };
+    uint64_t cancelled { 0 };
+    uint64_t shed { 0 };
+    uint64_t expired { 0 };
+    uint64_t gone { 0 };
+    uint64_t connectionsRefused { 0 };
+    size_t connectionsPeak { 0 };
+    size_t slotsPeak { 0 };
+};
+
+/// One target as section 3.2 of the design says: slots, queue, deadlines, cancellation, drain, snapshots, and faults on
+/// request. Uses the loop of its process; not thread-safe.
+class TargetStandIn {
+public:
+    TargetStandIn(BenchLoop& loop, HistoryWriter& history, TargetProfile profile, uint64_t seed);
+    ~TargetStandIn();
+    TargetStandIn(TargetStandIn const&) = delete;
+    TargetStandIn& operator=(TargetStandIn const&) = delete;
+
+    /// Applies the members of a control request. Throws Error of kind InvalidInput, with nothing changed, when a member
+    /// is unknown or bad.
+    void control(Json::Value const& change);
+    Json::Value describe() const;
+
+private:
+    struct Execution {
+        std::string attempt;
+        std::string requestId;
+        /// Empty for idempotent requests.
+        std::string requestKey;
+        std::string snapshot;
+        uint32_t shard { 0 };
+        std::shared_ptr<HttpSession> session;
+        BenchLoop::TimerId deadlineTimer { 0 };
+        BenchLoop::TimerId finishTimer { 0 };
+    };
+    using ExecutionPointer = std::shared_ptr<Execution>;
+    enum class State {
+        Serving,
+        Starting,
+        Draining,
+    };
+
+    void listen();
+    void onConnection(std::shared_ptr<StreamSession> const& stream);
+    void onClosed(std::shared_ptr<HttpSession> const& session);
+    void onRequest(std::shared_ptr<HttpSession> const& session, HttpRequest const& request);
+    void onExecutionRequest(std::shared_ptr<HttpSession> const& session, HttpRequest const& request);
+    void onCancel(std::shared_ptr<HttpSession> const& session, std::string_view attempt);
+    void onDeadline(ExecutionPointer const& execution);
+    void submit(ExecutionPointer const& execution);
+    void start(ExecutionPointer const& execution);
+    void startQueued();
+    void complete(ExecutionPointer const& execution);
+    /// Ends a queued or running execution with an error status.
+    void abort(ExecutionPointer const& execution, int status, std::string_view outcome);
+    void release(ExecutionPointer const& execution);
+    void refuse(std::shared_ptr<HttpSession> const& session, int status, std::string_view type);
+    void record(Execution const& execution, std::string_view kind, std::string_view outcome);
+    void recordState(std::string_view state);
+    void unstall();
+    void crash();
+    void restart();
+    /// Runs the action now, or after the stall has ended.
+    void whenNotStalled(std::function<void()> action);
+
+    State state() const;
+    std::string_view stateName() const;
+    bool holds(std::string const& snapshot, uint32_t shard) const;
+    bool refusesNewWork() const;
+    double coldFactor() const;
+    Milliseconds drawServiceTime();
+    HttpFields fields() const;
+    std::string body(Execution const& execution) const;
+
+    BenchLoop& loop;
+    HistoryWriter& history;
+    TargetProfile profile;
+    std::mt19937_64 random;
+    std::normal_distribution<double> normal;
+    std::unique_ptr<StreamListener> listener;
+    std::set<std::shared_ptr<HttpSession>> sessions;
+    std::set<ExecutionPointer> running;
+    std::deque<ExecutionPointer> queue;
+    std::unordered_map<std::string, ExecutionPointer> attempts;
+    TargetCounters counters;
+    Milliseconds startedAt;
+    std::optional<State> forcedState;
+    Milliseconds drainedAt;
+    double slowFactor { 1 };
+    bool stalled { false };
+    std::deque<std::function<void()>> heldBack;
+    uint64_t truncateNext { 0 };
+    /// Load to report in place of the real one.
+    std::optional<std::pair<uint32_t, uint32_t>> misreport;
+};
+
+} // namespace Toucan::Bench
