Add NodeEngine: routing of parts and commands, digests, burn counts

Cause: coordinator, carrier, key owner, membership and configuration state need one place that connects them without I/O. Change: PartRouter (first usable carrier, failover), CommandRouter (owner of the key, forwarding again is safe), DigestExchange (version, members, leaving targets, ownership hash), FrameCodec, BurnTracker, NodeEngine.

--- /dev/null
+++ b/Libraries/Engine/BurnTracker.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "Configuration/Configuration.h"
+
+#include <cstdint>
+#include <json/value.h>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Toucan {
+
+/// Good and total requests over a sliding time window, in buckets of equal width.
+class SlidingCounter {
+public:
+    SlidingCounter(Milliseconds window, size_t buckets);
+
+    void add(bool good, Milliseconds now);
+    uint64_t good(Milliseconds now) const;
+    uint64_t total(Milliseconds now) const;
+
+private:
+    struct Bucket {
+        int64_t number { -1 };
+        uint64_t good { 0 };
+        uint64_t total { 0 };
+    };
+
+    int64_t bucketNumber(Milliseconds now) const;
+    uint64_t sum(uint64_t Bucket::*member, Milliseconds now) const;
+
+    Milliseconds bucketWidth;
+    std::vector<Bucket> buckets;
+};
+
+/// Requests that met or missed the objective of their service, for the service-level burn report. Counts are lost with
+/// the process; the report sums over nodes.
+class BurnTracker {
+public:
+    void record(std::string const& service, bool good, Milliseconds now);
+    /// {"SERVICE": {"objective": {...}, "windows": {"5m": {"good", "total"}, ...}}}
+    Json::Value describe(Configuration const& configuration, Milliseconds now) const;
+
+private:
+    struct Windows {
+        SlidingCounter fiveMinutes { 300'000_ms, 30 };
+        SlidingCounter hour { 3'600'000_ms, 60 };
+        SlidingCounter sixHours { 21'600'000_ms, 72 };
+        SlidingCounter threeDays { 259'200'000_ms, 72 };
+    };
+
+    std::map<std::string, Windows> services;
+};
+
+} // namespace Toucan
--- /dev/null
+++ b/Libraries/Engine/DigestExchange.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "Engine/KeyOwner.h"
+#include "Engine/Membership.h"
+
+#include <cstdint>
+#include <functional>
+#include <json/value.h>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace Toucan {
+
+/// Writes and reads the digest that nodes exchange: configuration version, a bounded choice of members, targets that
+/// the VM list reports as leaving, and a hash of the ownership table. The table itself is sent only when the hashes
+/// differ, because owners change rarely. Has no I/O; not thread-safe.
+class DigestExchange {
+public:
+    struct Hooks {
+        std::function<Peer()> self;
+        std::function<uint64_t()> configurationVersion;
+        std::function<std::vector<Peer>(size_t limit)> memberEntries;
+        std::function<std::map<uint32_t, OwnershipRecord> const&()> ownership;
+        std::function<void(Peer const&)> rumor;
+        std::function<void(std::string const& peer, uint64_t version)> peerVersion;
+        std::function<void(OwnershipRecord const&)> record;
+        std::function<void(std::string const& target)> targetLeaving;
+        std::function<void(std::string const& peer, Json::Value&&)> send;
+    };
+
+    explicit DigestExchange(Hooks hooks);
+
+    void send(std::string const& peer, Milliseconds now);
+    void receive(std::string const& peer, Json::Value const& frame, Milliseconds now);
+    /// Names from the VM list, when this node reads it. Targets that left the list stop being spread.
+    void setLeavingTargets(std::vector<std::string> const& names, Milliseconds now);
+    std::vector<std::string> leavingTargets(Milliseconds now) const;
+
+private:
+    uint64_t ownershipHash() const;
+    Json::Value ownershipTable() const;
+    void readLeavingTargets(Json::Value const& entries, Milliseconds now);
+
+    Hooks hooks;
+    /// Time at which a reader of the VM list last saw the target as leaving.
+    std::map<std::string, Milliseconds> leaving;
+};
+
+} // namespace Toucan
--- /dev/null
+++ b/Libraries/Engine/FrameCodec.cpp
@@ -0,0 +1,310 @@
+#include "Engine/FrameCodec.h"
+
+#include "Base/Error.h"
+
+namespace Toucan::FrameCodec {
+
+template <typename Decode> static auto decoding(char const* what, Decode const& decode)
+{
+    try {
+        return decode();
+    } catch (Json::Exception const& exception) {
+        throw Error(ErrorKind::ProtocolViolation, std::string("Invalid ") + what + " frame: " + exception.what(),
+            "Check that all nodes run a released version");
+    }
+}
+
+static Json::Value encodeLoad(TargetLoad const& load)
+{
+    Json::Value value(Json::arrayValue);
+    value.append(load.running);
+    value.append(load.queued);
+    value.append(load.slots);
+    return value;
+}
+
+static TargetLoad decodeLoad(Json::Value const& value)
+{
+    TargetLoad load;
+    if (value.size() != 3)
+        return load;
+    load.running = value[0].asUInt();
+    load.queued = value[1].asUInt();
+    load.slots = value[2].asUInt();
+    return load;
+}
+
+static Json::Value encodeRequestOf(PartRequest const& part)
+{
+    Json::Value request;
+    request["id"] = part.requestId;
+    request["service"] = part.service;
+    request["snapshot"] = part.snapshot;
+    request["class"] = part.classIndex;
+    request["remaining"] = part.remaining.value;
+    request["idempotent"] = part.idempotence == Idempotence::Idempotent;
+    if (!part.requestKey.empty())
+        request["key"] = part.requestKey;
+    request["body"] = part.body ? *part.body : std::string();
+    request["parts"] = Json::Value(Json::arrayValue);
+    return request;
+}
+
+static bool belongsTogether(PartRequest const& first, PartRequest const& second)
+{
+    return first.requestId == second.requestId && first.body == second.body && first.snapshot == second.snapshot
+        && first.service == second.service && first.requestKey == second.requestKey
+        && first.remaining == second.remaining && first.classIndex == second.classIndex;
+}
+
+Json::Value encodeParts(std::span<PartRequest const> parts)
+{
+    Json::Value frame;
+    frame["kind"] = "parts";
+    auto& requests = frame["requests"] = Json::Value(Json::arrayValue);
+    PartRequest const* previous = nullptr;
+    for (auto const& part : parts) {
+        if (!previous || !belongsTogether(*previous, part))
+            requests.append(encodeRequestOf(part));
+        previous = &part;
+        Json::Value entry;
+        entry["attempt"] = part.attempt;
+        entry["target"] = part.target;
+        entry["shard"] = part.shard;
+        requests[requests.size() - 1]["parts"].append(std::move(entry));
+    }
+    return frame;
+}
+
+std::vector<PartRequest> decodeParts(Json::Value const& frame)
+{
+    return decoding("parts", [&] {
+        std::vector<PartRequest> parts;
+        for (auto const& request : frame["requests"]) {
+            PartRequest part;
+            part.requestId = request["id"].asString();
+            part.service = request["service"].asString();
+            part.snapshot = request["snapshot"].asString();
+            part.classIndex = request["class"].asUInt();
+            part.remaining = { request["remaining"].asDouble() };
+            part.idempotence
+                = request.get("idempotent", false).asBool() ? Idempotence::Idempotent : Idempotence::NonIdempotent;
+            part.requestKey = request["key"].asString();
+            part.body = std::make_shared<std::string const>(request["body"].asString());
+            for (auto const& entry : request["parts"]) {
+                part.attempt = entry["attempt"].asString();
+                part.target = entry["target"].asString();
+                part.shard = entry["shard"].asUInt();
+                parts.push_back(part);
+            }
+        }
+        return parts;
+    });
+}
+
+Json::Value encodeResults(std::span<PartResult const> results)
+{
+    Json::Value frame;
+    frame["kind"] = "results";
+    auto& entries = frame["results"] = Json::Value(Json::arrayValue);
+    for (auto const& result : results) {
+        Json::Value entry;
+        entry["attempt"] = result.attempt;
+        entry["target"] = result.target;
+        entry["status"] = static_cast<int>(result.status);
+        entry["id"] = result.requestId;
+        entry["snapshot"] = result.snapshot;
+        entry["shard"] = result.shard;
+        entry["hits"] = result.hits;
+        entry["service"] = result.service.value;
+        entry["queued"] = result.queued.value;
+        entry["retryAfter"] = result.retryAfter.value;
+        entry["state"] = static_cast<int>(result.state);
+        entry["load"] = encodeLoad(result.load);
+        entry["carrierQueue"] = result.carrierQueue;
+        entries.append(std::move(entry));
+    }
+    return frame;
+}
+
+std::vector<PartResult> decodeResults(Json::Value const& frame)
+{
+    return decoding("results", [&] {
+        std::vector<PartResult> results;
+        for (auto const& entry : frame["results"]) {
+            PartResult result;
+            result.attempt = entry["attempt"].asString();
+            result.target = entry["target"].asString();
+            auto const status = entry["status"].asInt();
+            // A newer node may know more kinds; what is unknown here may have run.
+            auto const known = status >= 0 && status <= static_cast<int>(PartStatus::NoCarrier);
+            result.status = known ? static_cast<PartStatus>(status) : PartStatus::TargetError;
+            result.requestId = entry["id"].asString();
+            result.snapshot = entry["snapshot"].asString();
+            result.shard = entry["shard"].asUInt();
+            result.hits = entry["hits"];
+            result.service = { entry["service"].asDouble() };
+            result.queued = { entry["queued"].asDouble() };
+            result.retryAfter = { entry["retryAfter"].asDouble() };
+            auto const state = entry["state"].asInt();
+            if (state >= 0 && state <= static_cast<int>(TargetState::Draining))
+                result.state = static_cast<TargetState>(state);
+            result.load = decodeLoad(entry["load"]);
+            result.carrierQueue = entry["carrierQueue"].asUInt();
+            results.push_back(std::move(result));
+        }
+        return results;
+    });
+}
+
+Json::Value encodeCommand(CommandRequest const& command)
+{
+    Json::Value frame;
+    frame["kind"] = "command";
+    frame["key"] = command.requestKey;
+    frame["id"] = command.requestId;
+    frame["service"] = command.service;
+    frame["record"] = command.record;
+    frame["class"] = command.classIndex;
+    frame["remaining"] = command.remaining.value;
+    frame["body"] = command.body ? *command.body : std::string();
+    return frame;
+}
+
+CommandRequest decodeCommand(Json::Value const& frame)
+{
+    return decoding("command", [&] {
+        CommandRequest command;
+        command.requestKey = frame["key"].asString();
+        command.requestId = frame["id"].asString();
+        command.service = frame["service"].asString();
+        command.record = frame["record"].asString();
+        command.classIndex = frame["class"].asUInt();
+        command.remaining = { frame["remaining"].asDouble() };
+        command.body = std::make_shared<std::string const>(frame["body"].asString());
+        return command;
+    });
+}
+
+static Outcome outcomeFrom(std::string const& text)
+{
+    for (auto const outcome : { Outcome::Ran, Outcome::NotRun }) {
+        if (toString(outcome) == text)
+            return outcome;
+    }
+    return Outcome::Unknown;
+}
+
+Json::Value encodeVerdict(CommandVerdict const& verdict)
+{
+    Json::Value frame;
+    frame["kind"] = "commandResult";
+    frame["key"] = verdict.requestKey;
+    frame["id"] = verdict.requestId;
+    frame["outcome"] = std::string(toString(verdict.outcome));
+    frame["status"] = verdict.status;
+    frame["snapshot"] = verdict.snapshot;
+    frame["shard"] = verdict.shard;
+    frame["hits"] = verdict.hits;
+    auto& problem = frame["problem"];
+    problem["type"] = verdict.problem.type;
+    problem["title"] = verdict.problem.title;
+    problem["detail"] = verdict.problem.detail;
+    problem["remedy"] = verdict.problem.remedy;
+    return frame;
+}
+
+CommandVerdict decodeVerdict(Json::Value const& frame)
+{
+    return decoding("commandResult", [&] {
+        CommandVerdict verdict;
+        verdict.requestKey = frame["key"].asString();
+        verdict.requestId = frame["id"].asString();
+        verdict.outcome = outcomeFrom(frame["outcome"].asString());
+        verdict.status = frame["status"].asInt();
+        verdict.snapshot = frame["snapshot"].asString();
+        verdict.shard = frame["shard"].asUInt();
+        verdict.hits = frame["hits"];
+        auto const& problem = frame["problem"];
+        verdict.problem = { problem["type"].asString(), problem["title"].asString(), problem["detail"].asString(),
+            problem["remedy"].asString() };
+        return verdict;
+    });
+}
+
+Json::Value encodePeer(Peer const& peer)
+{
+    Json::Value value;
+    value["name"] = peer.name;
+    value["address"] = peer.address;
+    value["domain"] = peer.failureDomain;
+    value["incarnation"] = static_cast<Json::UInt64>(peer.incarnation);
+    value["state"] = static_cast<int>(peer.state);
+    return value;
+}
+
+Peer decodePeer(Json::Value const& value)
+{
+    return decoding("member", [&] {
+        Peer peer;
+        peer.name = value["name"].asString();
+        peer.address = value["address"].asString();
+        peer.failureDomain = value["domain"].asString();
+        peer.incarnation = value["incarnation"].asUInt64();
+        auto const state = value["state"].asInt();
+        if (state >= 0 && state <= static_cast<int>(PeerState::Leaving))
+            peer.state = static_cast<PeerState>(state);
+        return peer;
+    });
+}
+
+Json::Value encodeRecord(OwnershipRecord const& record)
+{
+    Json::Value value;
+    value["range"] = record.range;
+    value["owner"] = record.owner;
+    value["incarnation"] = static_cast<Json::UInt64>(record.incarnation);
+    value["from"] = static_cast<Json::UInt64>(record.from);
+    value["until"] = static_cast<Json::UInt64>(record.until);
+    value["revision"] = static_cast<Json::UInt64>(record.revision);
+    return value;
+}
+
+OwnershipRecord decodeRecord(Json::Value const& value)
+{
+    return decoding("ownership", [&] {
+        OwnershipRecord record;
+        record.range = value["range"].asUInt();
+        record.owner = value["owner"].asString();
+        record.incarnation = value["incarnation"].asUInt64();
+        record.from = value["from"].asUInt64();
+        record.until = value["until"].asUInt64();
+        record.revision = value["revision"].asUInt64();
+        return record;
+    });
+}
+
+Json::Value encodeUpdate(ConfigurationUpdate const& update)
+{
+    Json::Value frame;
+    frame["kind"] = "fetched";
+    frame["root"] = writeRoot(update.root);
+    auto& parts = frame["parts"] = Json::Value(Json::objectValue);
+    for (auto const& [hash, text] : update.parts)
+        parts[hash] = text;
+    return frame;
+}
+
+ConfigurationUpdate decodeUpdate(Json::Value const& frame)
+{
+    return decoding("fetched", [&] {
+        ConfigurationUpdate update;
+        update.root = parseRoot(frame["root"].asString());
+        auto const& parts = frame["parts"];
+        for (auto const& hash : parts.getMemberNames())
+            update.parts[hash] = parts[hash].asString();
+        return update;
+    });
+}
+
+} // namespace Toucan::FrameCodec
--- /dev/null
+++ b/Libraries/Engine/FrameCodec.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "Engine/ConfigurationState.h"
+#include "Engine/KeyOwner.h"
+#include "Engine/Membership.h"
+#include "Engine/Messages.h"
+
+#include <json/value.h>
+#include <span>
+#include <string>
+#include <vector>
+
+/// Typed messages to and from the JSON frames between nodes. Decoders ignore unknown members, so that old and new
+/// versions of the program serve side by side; they throw Error of kind ProtocolViolation for a wrong type.
+namespace Toucan::FrameCodec {
+
+/// Groups the parts by request, so that a caller's body travels once in a frame.
+Json::Value encodeParts(std::span<PartRequest const> parts);
+std::vector<PartRequest> decodeParts(Json::Value const& frame);
+
+Json::Value encodeResults(std::span<PartResult const> results);
+std::vector<PartResult> decodeResults(Json::Value const& frame);
+
+Json::Value encodeCommand(CommandRequest const& command);
+CommandRequest decodeCommand(Json::Value const& frame);
+
+Json::Value encodeVerdict(CommandVerdict const& verdict);
+CommandVerdict decodeVerdict(Json::Value const& frame);
+
+Json::Value encodePeer(Peer const& peer);
+Peer decodePeer(Json::Value const& value);
+
+Json::Value encodeRecord(OwnershipRecord const& record);
+OwnershipRecord decodeRecord(Json::Value const& value);
+
+Json::Value encodeUpdate(ConfigurationUpdate const& update);
+ConfigurationUpdate decodeUpdate(Json::Value const& frame);
+
+} // namespace Toucan::FrameCodec
--- /dev/null
+++ b/Libraries/Engine/PartRouter.cpp
@@ -0,0 +1,129 @@
+#include "Engine/PartRouter.h"
+
+#include "Engine/CarrierMap.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Toucan {
+
+PartRouter::PartRouter(Hooks routerHooks, std::string name)
+    : hooks(std::move(routerHooks))
+    , nodeName(std::move(name))
+{
+}
+
+void PartRouter::setConfiguration(ConfigurationPointer next)
+{
+    this->configuration = std::move(next);
+    this->candidates.clear();
+}
+
+std::vector<std::string> const& PartRouter::candidatesOf(std::string const& service, std::string const& target) const
+{
+    auto const [entry, inserted] = this->candidates.try_emplace(target);
+    if (!inserted)
+        return entry->second;
+    if (auto const* definition = this->configuration ? this->configuration->service(service) : nullptr) {
+        if (auto const found = definition->targets.find(target); found != definition->targets.end())
+            entry->second = carrierCandidates(this->configuration->fleet, found->second, this->nodeName);
+    }
+    return entry->second;
+}
+
+bool PartRouter::carries(std::string const& service, std::string const& target) const
+{
+    auto const& names = this->candidatesOf(service, target);
+    return std::find(names.begin(), names.end(), this->nodeName) != names.end();
+}
+
+std::string PartRouter::chooseCarrier(PartRequest const& part)
+{
+    for (auto const& name : this->candidatesOf(part.service, part.target)) {
+        if (name == this->nodeName || this->hooks.isUsable(name))
+            return name;
+    }
+    return {};
+}
+
+void PartRouter::send(PartRequest const& part)
+{
+    auto const carrier = this->chooseCarrier(part);
+    InFlight entry { carrier, part.target, part.requestId, part.snapshot, part.shard };
+    if (carrier.empty()) {
+        this->fail(entry, part.attempt, PartStatus::NoCarrier);
+        return;
+    }
+    if (carrier == this->nodeName) {
+        this->hooks.submitLocally(PartRequest(part));
+        return;
+    }
+    this->inFlight.emplace(part.attempt, std::move(entry));
+    this->outgoing[carrier].push_back(part);
+}
+
+void PartRouter::cancel(AttemptId const& attempt)
+{
+    auto const found = this->inFlight.find(attempt);
+    if (found == this->inFlight.end()) {
+        this->hooks.cancelLocally(attempt);
+        return;
+    }
+    this->outgoingCancels[found->second.carrier].push_back(attempt);
+    this->inFlight.erase(found);
+}
+
+void PartRouter::onPeerResult(std::string const& peer, PartResult&& result)
+{
+    auto const found = this->inFlight.find(result.attempt);
+    if (found == this->inFlight.end() || found->second.carrier != peer) {
+        ++this->late;
+        return;
+    }
+    this->inFlight.erase(found);
+    this->hooks.result(std::move(result));
+}
+
+void PartRouter::onPeerLost(std::string const& peer)
+{
+    std::vector<std::pair<AttemptId, InFlight>> lost;
+    for (auto entry = this->inFlight.begin(); entry != this->inFlight.end();) {
+        if (entry->second.carrier != peer) {
+            ++entry;
+            continue;
+        }
+        lost.emplace_back(entry->first, std::move(entry->second));
+        entry = this->inFlight.erase(entry);
+    }
+    // Parts that still wait in this turn's group have not left this process.
+    auto const unsent = this->outgoing.extract(peer);
+    this->outgoingCancels.erase(peer);
+    for (auto const& [attempt, entry] : lost) {
+        auto const stillHere = !unsent.empty()
+            && std::any_of(unsent.mapped().begin(), unsent.mapped().end(),
+                [&id = attempt](PartRequest const& part) { return part.attempt == id; });
+        this->fail(entry, attempt, stillHere ? PartStatus::NoCarrier : PartStatus::ConnectionLost);
+    }
+}
+
+void PartRouter::fail(InFlight const& entry, AttemptId const& attempt, PartStatus status)
+{
+    PartResult result;
+    result.attempt = attempt;
+    result.target = entry.target;
+    result.status = status;
+    result.requestId = entry.requestId;
+    result.snapshot = entry.snapshot;
+    result.shard = entry.shard;
+    this->hooks.result(std::move(result));
+}
+
+void PartRouter::flush()
+{
+    for (auto const& [peer, parts] : std::exchange(this->outgoing, {}))
+        this->hooks.sendParts(peer, parts);
+    for (auto const& [peer, attempts] : std::exchange(this->outgoingCancels, {}))
+        this->hooks.sendCancels(peer, attempts);
+}
+
+} // namespace Toucan
--- /dev/null
+++ b/Libraries/Engine/PartRouter.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "Configuration/Configuration.h"
+#include "Engine/Messages.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace Toucan {
+
+/// Sends each part to the first usable carrier of its target, this node included, and reports the parts in flight at a
+/// carrier that is lost. Parts for the same peer leave as one group in flush(). Has no I/O; not thread-safe.
+class PartRouter {
+public:
+    struct Hooks {
+        std::function<void(std::string const& peer, std::vector<PartRequest> const&)> sendParts;
+        std::function<void(std::string const& peer, std::vector<AttemptId> const&)> sendCancels;
+        /// Hands a part to this node's own carrier.
+        std::function<void(PartRequest&&)> submitLocally;
+        std::function<void(AttemptId const&)> cancelLocally;
+        std::function<void(PartResult&&)> result;
+        std::function<bool(std::string const& node)> isUsable;
+    };
+
+    PartRouter(Hooks hooks, std::string nodeName);
+
+    void setConfiguration(ConfigurationPointer configuration);
+    void send(PartRequest const& part);
+    void cancel(AttemptId const& attempt);
+    /// A result from a peer. Results of attempts that are not in flight there are counted and dropped.
+    void onPeerResult(std::string const& peer, PartResult&& result);
+    /// The peer is dead or its connection broke: its attempts end with ConnectionLost.
+    void onPeerLost(std::string const& peer);
+    void flush();
+    /// Whether this node may dial the target under the configuration in force.
+    bool carries(std::string const& service, std::string const& target) const;
+    uint64_t lateResults() const { return this->late; }
+
+private:
+    struct InFlight {
+        std::string carrier;
+        std::string target;
+        std::string requestId;
+        std::string snapshot;
+        uint32_t shard { 0 };
+    };
+
+    std::string chooseCarrier(PartRequest const& part);
+    std::vector<std::string> const& candidatesOf(std::string const& service, std::string const& target) const;
+    void fail(InFlight const& entry, AttemptId const& attempt, PartStatus status);
+
+    Hooks hooks;
+    std::string nodeName;
+    ConfigurationPointer configuration;
+    mutable std::unordered_map<std::string, std::vector<std::string>> candidates;
+    std::unordered_map<AttemptId, InFlight> inFlight;
+    std::map<std::string, std::vector<PartRequest>> outgoing;
+    std::map<std::string, std::vector<AttemptId>> outgoingCancels;
+    uint64_t late { 0 };
+};
+
+} // namespace Toucan
