--- a/Libraries/Configuration/VmEntry.h
+++ b/Libraries/Configuration/VmEntry.h
@@ -16,4 +16,4 @@
     } state { State::Live };
 };
 
-}
+} // namespace Toucan
--- a/Libraries/Engine/NodeEngine.cpp
+++ b/Libraries/Engine/NodeEngine.cpp
@@ -19,7 +19,6 @@
 static constexpr auto vmListPeriod = 2'000_ms;
 /// Time after the announcement of leaving in which peers may still send parts.
 static constexpr auto leavingGrace = 1'000_ms;
-static constexpr Milliseconds never { std::numeric_limits<double>::infinity() };
 
 class NodeEngine::Implementation {
 public:
