Read, split and assemble the configuration document

Nodes and tgctl need one place that checks the document of design section 6 and turns it into a Configuration.

ConfigurationParts parses and writes the root, cuts a document into parts and puts it together again. Nodes ignore unknown keys, because old and new programs serve side by side; parseDocument refuses them. assembleDocument is added to the interface for tgctl diff.

--- a/Libraries/Configuration/ConfigurationParts.h
+++ b/Libraries/Configuration/ConfigurationParts.h
@@ -28,14 +28,18 @@
 /// Part texts of a checked document, by part name.
 std::map<std::string, std::string> splitDocument(Json::Value const& document);
 
+/// Inverse of splitDocument(): the whole document that a root names. `texts` maps content hash to part text. Throws as
+/// assembleConfiguration() does, but does not check the contents of the parts.
+Json::Value assembleDocument(ConfigurationRoot const& root, std::map<std::string, std::string> const& texts);
+
 /// Builds the configuration that a root names. `texts` maps content hash to part text.
 /// Throws Error of kind NotFound when a part is missing and InvalidInput when one is not valid or not what its hash
-/// says.
+/// says. Keys that this program does not know are ignored, so that an older node accepts a newer document.
 ConfigurationPointer assembleConfiguration(
     ConfigurationRoot const& root, std::map<std::string, std::string> const& texts);
 
 /// Builds a configuration from a whole merged document. Throws Error of kind InvalidInput with the JSON path of the
-/// first bad value and the remedy.
+/// bad values and the remedies; unknown keys are bad values.
 ConfigurationPointer parseDocument(Json::Value const& document, uint64_t version, std::string const& changeId);
 
 } // namespace Toucan
