--- /dev/null
+++ b/Libraries/Bench/FaultProxy.h
@@ -0,0 +1,151 @@
+#pragma once
+
+#include "Bench/HttpSession.h"
+#include "Bench/StreamSession.h"
+
+#include <cstdint>
+#include <deque>
+#include <json/value.h>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Toucan::Bench {
+
+/// Faults of one route; the members of a control request.
+struct FaultSet {
+    /// Time for which bytes are held, in each direction.
+    Milliseconds delay;
+    /// Upper end of a uniformly distributed addition to `delay`.
+    Milliseconds jitter;
+    /// Resets all connections and refuses new ones.
+    bool cut { false };
+    /// Bytes in this direction vanish; a connection that lost bytes is reset when the fault ends.
+    bool blackholeToTarget { false };
+    bool blackholeToCaller { false };
+    /// Neither side is read; nothing is lost.
+    bool stall { false };
+    /// Each connection is closed after this many bytes to the caller, counted from the control request.
+    std::optional<uint64_t> truncateAfter;
+    /// Share of the whole HTTP answers that are sent twice, 0 to 1.
+    double duplicate { 0 };
+    /// Share of the whole HTTP answers that are exchanged with the next one of another connection, 0 to 1.
+    double reorder { 0 };
+
+    /// Throws Error of kind InvalidInput that names the member.
+    static FaultSet parse(Json::Value const& settings);
+};
+
+/// Forwards TCP connections from one listener to one address and injects faults. Not thread-safe.
+class ProxyRoute {
+public:
+    /// Throws Error of kind Unavailable when the listener's address cannot be bound.
+    ProxyRoute(BenchLoop& loop, std::string listen, std::string const& target, uint64_t seed);
+    ~ProxyRoute();
+    ProxyRoute(ProxyRoute const&) = delete;
+    ProxyRoute& operator=(ProxyRoute const&) = delete;
+
+    /// Replaces all faults.
+    void setFaults(FaultSet const& newFaults);
+    Json::Value describe() const;
+
+private:
+    enum class Direction {
+        ToTarget,
+        ToCaller,
+    };
+    enum class Framing {
+        /// Nothing has been read yet.
+        Unknown,
+        Http,
+        Raw,
+    };
+    struct Chunk {
+        Milliseconds releaseAt;
+        std::string bytes;
+        /// The sender closed after the bytes.
+        bool last { false };
+    };
+    struct Pipe {
+        std::shared_ptr<StreamSession> from;
+        std::shared_ptr<StreamSession> to;
+        std::deque<Chunk> held;
+        Milliseconds lastRelease;
+        uint64_t sent { 0 };
+    };
+    struct Connection {
+        Pipe toTarget;
+        Pipe toCaller;
+        Framing framing { Framing::Unknown };
+        bool lostBytes { false };
+    };
+    using ConnectionPointer = std::shared_ptr<Connection>;
+    struct HeldAnswer {
+        ConnectionPointer connection;
+        std::string bytes;
+        BenchLoop::TimerId timer { 0 };
+    };
+    struct Counters {
+        uint64_t accepted { 0 };
+        uint64_t bytesToTarget { 0 };
+        uint64_t bytesToCaller { 0 };
+        uint64_t bytesLost { 0 };
+        uint64_t truncated { 0 };
+        uint64_t duplicated { 0 };
+        uint64_t reordered { 0 };
+        uint64_t reset { 0 };
+    };
+
+    void listen();
+    void onAccepted(std::shared_ptr<StreamSession> const& caller);
+    void onReceived(ConnectionPointer const& connection, Direction direction);
+    void onClosed(ConnectionPointer const& connection, Direction direction);
+    void onAnswerBytes(ConnectionPointer const& connection);
+    void onWholeAnswer(ConnectionPointer const& connection, std::string bytes);
+    void releaseHeldAnswer();
+    void forward(ConnectionPointer const& connection, Direction direction, std::string bytes, bool last);
+    void releaseDue(ConnectionPointer const& connection, Direction direction);
+    void deliver(ConnectionPointer const& connection, Direction direction, Chunk const& chunk);
+    void reset(ConnectionPointer const& connection);
+    void drop(ConnectionPointer const& connection);
+    void applyStall(ConnectionPointer const& connection) const;
+    bool draw(double share);
+    static Pipe& pipe(Connection& connection, Direction direction)
+    {
+        return direction == Direction::ToTarget ? connection.toTarget : connection.toCaller;
+    }
+
+    BenchLoop& loop;
+    std::string listenAddress;
+    Poco::Net::SocketAddress target;
+    std::mt19937_64 random;
+    std::unique_ptr<StreamListener> listener;
+    std::set<ConnectionPointer> connections;
+    std::optional<HeldAnswer> heldAnswer;
+    FaultSet faults;
+    Counters counters;
+};
+
+/// All routes of one process and their HTTP control: POST /control/routes/LISTEN replaces the faults of a route, GET
+/// /control gives the counters.
+class FaultProxy {
+public:
+    /// `rules` as in "127.0.0.1:9100=127.0.0.1:9000". Throws Error of kind InvalidSettings or Unavailable.
+    FaultProxy(BenchLoop& loop, std::string const& control, std::vector<std::string> const& rules, uint64_t seed);
+
+private:
+    void addRoute(std::string_view rule, uint64_t seed);
+    void onControl(std::shared_ptr<HttpSession> const& session, HttpRequest const& request);
+
+    BenchLoop& loop;
+    std::map<std::string, std::unique_ptr<ProxyRoute>> routes;
+    /// Opened after all routes, so that whoever reaches it finds them listening.
+    std::unique_ptr<StreamListener> controlListener;
+};
+
+} // namespace Toucan::Bench
--- a/Libraries/Bench/HttpMessages.cpp
+++ b/Libraries/Bench/HttpMessages.cpp
@@ -10,33 +10,56 @@
 static constexpr std::string_view headerEnd = "\r\n\r\n";
 static constexpr int statusClientClosedRequest = 499;
 
-template <typename Header, typename Message> static std::optional<Message> takeMessage(std::string& buffer)
+struct MessageSize {
+    size_t header { 0 };
+    size_t body { 0 };
+};
+
+/// Reads the header at the front of the buffer; empty when the message is not whole yet.
+static std::optional<MessageSize> readWhole(std::string_view buffer, Poco::Net::HTTPMessage& message)
 {
     auto const end = buffer.find(headerEnd);
-    if (end == std::string::npos)
+    if (end == std::string_view::npos)
         return {};
-    auto const headerSize = end + headerEnd.size();
-    Message message;
-    message.header = std::make_shared<Header>();
-    std::streamsize length = 0;
+    MessageSize size { end + headerEnd.size(), 0 };
     try {
-        std::istringstream stream(buffer.substr(0, headerSize));
-        message.header->read(stream);
-        if (message.header->hasContentLength())
-            length = message.header->getContentLength();
+        std::istringstream stream { std::string(buffer.substr(0, size.header)) };
+        message.read(stream);
+        if (message.hasContentLength())
+            size.body = static_cast<size_t>(message.getContentLength());
     } catch (Poco::Exception const& exception) {
         throw Error(ErrorKind::ProtocolViolation, "Bad HTTP header: " + exception.displayText(), "Send HTTP/1.1");
     }
-    if (message.header->getChunkedTransferEncoding())
+    if (message.getChunkedTransferEncoding())
         throw Error(ErrorKind::ProtocolViolation, "Chunked body", "Send Content-Length");
-    auto const whole = headerSize + static_cast<size_t>(length);
-    if (buffer.size() < whole)
+    if (buffer.size() < size.header + size.body)
         return {};
-    message.body = buffer.substr(headerSize, static_cast<size_t>(length));
-    buffer.erase(0, whole);
+    return size;
+}
+
+template <typename Header, typename Message> static std::optional<Message> takeMessage(std::string& buffer)
+{
+    Message message;
+    message.header = std::make_shared<Header>();
+    auto const size = readWhole(buffer, *message.header);
+    if (!size)
+        return {};
+    message.body = buffer.substr(size->header, size->body);
+    buffer.erase(0, size->header + size->body);
     return message;
 }
 
+std::optional<std::string> takeResponseBytes(std::string& buffer)
+{
+    Poco::Net::HTTPResponse header;
+    auto const size = readWhole(buffer, header);
+    if (!size)
+        return {};
+    auto bytes = buffer.substr(0, size->header + size->body);
+    buffer.erase(0, bytes.size());
+    return bytes;
+}
+
 std::optional<HttpRequest> takeRequest(std::string& buffer)
 {
     return takeMessage<Poco::Net::HTTPRequest, HttpRequest>(buffer);
--- a/Libraries/Bench/HttpMessages.h
+++ b/Libraries/Bench/HttpMessages.h
@@ -25,6 +25,8 @@
 /// Content-Length (RFC 9112, section 6.2). Throws Error of kind ProtocolViolation.
 std::optional<HttpRequest> takeRequest(std::string& buffer);
 std::optional<HttpResponse> takeResponse(std::string& buffer);
+/// As takeResponse(), but gives the bytes of the message.
+std::optional<std::string> takeResponseBytes(std::string& buffer);
 
 std::string writeRequest(std::string_view method, std::string_view path, std::string_view host,
     HttpFields const& fields, std::string_view body);
--- a/Scripts/toucanfleet.py
+++ b/Scripts/toucanfleet.py
@@ -58,8 +58,8 @@
 
 def rule(priority, deadline_ms, **members):
     """One entry of "rules"; the deadline is longer than the objective, so that late answers can be counted."""
-    return {"priority": priority, "deadlineMs": deadline_ms, "minimumCoverage": 1.0, "hedge": True, "hedgeQuantile": 0.95,
-            "extraLoadBudget": 0.05, "replicaChoice": "load-aware", "queueLimit": 64, "ejection": True,
+    return {"priority": priority, "deadlineMs": deadline_ms, "minimumCoverage": 1.0, "hedge": True,
+            "hedgeQuantile": 0.95, "extraLoadBudget": 0.05, "replicaChoice": "load-aware", "queueLimit": 64, "ejection": True,
             "objective": {"latencyMs": 59, "ratio": 0.99}} | members
 
 
@@ -296,8 +296,8 @@
     def spawn(self, name, program, *arguments):
         """Starts a program of the build; its output goes to logs/NAME.log."""
         with open(self.folder / "logs" / f"{name}.log", "ab") as log:
-            self.processes[name] = subprocess.Popen([self.build / program, *map(str, arguments)], stdout=log, stderr=log,
-                                                    stdin=subprocess.DEVNULL)
+            command = [self.build / program, *map(str, arguments)]
+            self.processes[name] = subprocess.Popen(command, stdout=log, stderr=log, stdin=subprocess.DEVNULL)
         return self.processes[name]
 
     def start_platform(self):
@@ -506,9 +506,9 @@
         fleet = Fleet(arguments.folder or temporary, arguments.deployment, arguments.variant, arguments.nodes,
                       proxied=arguments.proxied)
         with fleet:
-            print(json.dumps({"store": fleet.store, "targetControl": fleet.target_control_address,
-                              "nodes": {name: dataclasses.asdict(node) for name, node in fleet.nodes.items()}}, indent=2),
-                  flush=True)
+            nodes = {name: dataclasses.asdict(node) for name, node in fleet.nodes.items()}
+            print(json.dumps({"store": fleet.store, "targetControl": fleet.target_control_address, "nodes": nodes},
+                             indent=2), flush=True)
             try:
                 time.sleep(arguments.seconds)
             except KeyboardInterrupt:
