--- a/Libraries/Configuration/SettingsReader.cpp
+++ b/Libraries/Configuration/SettingsReader.cpp
@@ -2,6 +2,8 @@
 
 #include "Base/Json.h"
 
+#include <array>
+#include <charconv>
 #include <cmath>
 
 namespace Toucan {
@@ -66,12 +68,18 @@
         "Write " + std::string(expected) + " here");
 }
 
-template <typename Number> void SettingsReader::reportRange(std::string const& key, Number value, Range<Number> range)
+/// Shortest decimal form, without the fraction ".0" that jsoncpp writes.
+static std::string formatNumber(double number)
 {
-    auto const least = writeJson(Json::Value(range.least));
-    auto const most = writeJson(Json::Value(range.most));
-    this->report(key, "The number " + writeJson(Json::Value(value)) + " is out of range",
-        "Use a number from " + least + " to " + most);
+    std::array<char, 32> text {};
+    auto const result = std::to_chars(text.data(), text.data() + text.size(), number);
+    return { text.data(), result.ptr };
+}
+
+void SettingsReader::reportRange(std::string const& key, double number, Range<double> range)
+{
+    this->report(key, "The number " + formatNumber(number) + " is out of range",
+        "Use a number from " + formatNumber(range.least) + " to " + formatNumber(range.most));
 }
 
 void SettingsReader::reportChoice(std::string const& key, std::string const& value, std::string const& allowed)
--- a/Libraries/Configuration/SettingsReader.h
+++ b/Libraries/Configuration/SettingsReader.h
@@ -53,7 +53,7 @@
     /// Null when the member is missing.
     Json::Value const* find(std::string const& key);
     void reportType(std::string const& key, Json::Value const& value, std::string_view expected);
-    template <typename Number> void reportRange(std::string const& key, Number value, Range<Number> range);
+    void reportRange(std::string const& key, double number, Range<double> range);
     uint64_t readInteger(std::string const& key, Json::Value const& value, uint64_t byDefault, Range<uint64_t> range);
     void reportChoice(std::string const& key, std::string const& value, std::string const& allowed);
 
--- /dev/null
+++ b/Libraries/Configuration/SettingsText.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "Configuration/SettingsFault.h"
+
+#include <json/value.h>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Toucan {
+
+/// One settings file: a JSON object (RFC 8259) with comments of the forms // and /* */. Knows the line of each value.
+class SettingsText {
+public:
+    /// Throws SettingsError of kind InvalidSettings with file, line and key when the text is not valid or an object
+    /// has a key twice.
+    static SettingsText create(std::string file, std::string_view text);
+
+    std::string const& file() const { return this->fileName; }
+    Json::Value const& root() const { return this->value; }
+    /// Line, from 1, of the value at a JSON Pointer or of the nearest value that contains it.
+    size_t lineOf(std::string const& pointer) const;
+    /// Throws SettingsError of kind InvalidSettings with file and line filled in, unless `faults` is empty.
+    void refuse(std::vector<SettingsFault> faults) const;
+
+private:
+    SettingsText(std::string file, Json::Value&& value, std::map<std::string, size_t>&& lines);
+
+    std::string fileName;
+    Json::Value value;
+    std::map<std::string, size_t> lines;
+};
+
+/// JSON Pointer of the value that contains the value at `pointer`; empty for the whole document.
+std::string parentPointer(std::string const& pointer);
+
+} // namespace Toucan
