Add network library: event loop, HTTP server and client, frames

The node and the bench tools need non-blocking HTTP and frame connections with fixed bounds on size, time and connections, so that malformed, slow or broken peers cannot hold memory or match a late response to another exchange.

Adds EventLoop (POCO PollSet, timers, wake-up), SocketChannel, a strict incremental HttpMessageReader, HttpServerSession and HttpServer, HttpClientPool and FrameSession, with tests of each bound.

--- /dev/null
+++ b/Libraries/Net/HttpClientPool.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "Base/Clock.h"
+#include "Net/EventLoop.h"
+#include "Net/HttpMessageReader.h"
+
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace Toucan {
+
+/// How one exchange ended.
+enum class HttpTransport {
+    /// A whole response was read.
+    Answered,
+    /// No byte of the request left this process: refused, reset or not connected in time.
+    ConnectFailed,
+    /// The connection broke, or the response was not valid, after bytes of the request were sent.
+    Broken,
+    /// The time ran out after bytes of the request were sent.
+    TimedOut,
+    /// All connections were busy; nothing was sent.
+    NoConnection,
+};
+
+struct HttpClientResult {
+    HttpTransport transport { HttpTransport::Broken };
+    /// Valid with Answered.
+    Poco::Net::HTTPResponse head;
+    std::string body;
+};
+
+struct HttpExchange {
+    /// The pool sets Host, Content-Length and Connection.
+    Poco::Net::HTTPRequest head;
+    /// May be null.
+    std::shared_ptr<std::string const> body;
+    enum class Repeat {
+        /// May be sent again when a kept connection turns out to be closed.
+        Allowed,
+        Forbidden,
+    } repeat { Repeat::Forbidden };
+    enum class WhenBusy {
+        Wait,
+        /// Ends with NoConnection when no connection is free.
+        Drop,
+    } whenBusy { WhenBusy::Wait };
+    /// Time for the whole exchange, with the wait for a connection.
+    Milliseconds timeout;
+    /// Called once, never from within send().
+    std::function<void(HttpClientResult&&)> done;
+};
+
+/// HTTP/1.1 client connections, kept and reused, with a bound for each endpoint. Each connection carries one exchange
+/// at a time and is closed after a timeout, so that a late response never meets another exchange.
+class HttpClientPool {
+public:
+    struct Limits {
+        HttpSizeLimits sizes { 16384, 4194304 };
+        Milliseconds idleTimeout { 30000 };
+        /// Exchanges that may wait for a connection to one endpoint.
+        size_t waiting { 1024 };
+    };
+
+    HttpClientPool(EventLoop& loop, Limits limits);
+    ~HttpClientPool();
+    HttpClientPool(HttpClientPool const&) = delete;
+    HttpClientPool& operator=(HttpClientPool const&) = delete;
+
+    /// `endpoint` as in "127.0.0.1:9001"; at most `connections` are open to it at once.
+    void send(std::string const& endpoint, uint32_t connections, HttpExchange&& exchange);
+    size_t openConnections(std::string const& endpoint) const;
+
+private:
+    class Endpoint;
+
+    EventLoop& loop;
+    Limits limits;
+    std::map<std::string, std::shared_ptr<Endpoint>> endpoints;
+};
+
+} // namespace Toucan
--- /dev/null
+++ b/Libraries/Net/HttpMessageReader.cpp
@@ -0,0 +1,267 @@
+#include "Net/HttpMessageReader.h"
+
+#include <Poco/Exception.h>
+#include <Poco/MemoryStream.h>
+#include <Poco/String.h>
+#include <algorithm>
+#include <charconv>
+#include <optional>
+
+namespace Toucan {
+
+constexpr std::string_view lineEnd = "\r\n";
+constexpr std::string_view headerEnd = "\r\n\r\n";
+/// POCO's MessageHeader refuses longer names and values, and more fields.
+constexpr size_t longestFieldName = 256;
+constexpr size_t longestFieldValue = 8192;
+constexpr size_t mostFields = 100;
+/// Chunk size with its extensions.
+constexpr size_t longestChunkLine = 256;
+
+static bool isTokenCharacter(char character)
+{
+    constexpr std::string_view marks = "!#$%&'*+-.^_`|~";
+    return (character >= '0' && character <= '9') || (character >= 'a' && character <= 'z')
+        || (character >= 'A' && character <= 'Z') || marks.find(character) != std::string_view::npos;
+}
+
+static bool isToken(std::string_view text)
+{
+    return !text.empty() && std::all_of(text.begin(), text.end(), isTokenCharacter);
+}
+
+static bool hasControlCharacter(std::string_view text)
+{
+    return std::any_of(text.begin(), text.end(), [](char character) {
+        auto const code = static_cast<unsigned char>(character);
+        return (code < 0x20 && character != '\t') || code == 0x7f;
+    });
+}
+
+/// Checks RFC 9112, section 5: no white space before the colon and no line folding, which receivers read differently.
+static HttpMessageReader::Status checkFields(std::string_view fields)
+{
+    using Status = HttpMessageReader::Status;
+    size_t count = 0;
+    while (!fields.empty()) {
+        auto const end = fields.find(lineEnd);
+        auto const line = fields.substr(0, end);
+        fields.remove_prefix(end == std::string_view::npos ? fields.size() : end + lineEnd.size());
+        if (line.empty())
+            continue;
+        auto const colon = line.find(':');
+        if (colon == std::string_view::npos || !isToken(line.substr(0, colon)) || hasControlCharacter(line))
+            return Status::Malformed;
+        if (++count > mostFields || colon > longestFieldName || line.size() - colon > longestFieldValue)
+            return Status::HeaderTooLarge;
+    }
+    return Status::Complete;
+}
+
+static bool isSupportedVersion(std::string const& version)
+{
+    return version == Poco::Net::HTTPMessage::HTTP_1_1 || version == Poco::Net::HTTPMessage::HTTP_1_0;
+}
+
+static std::optional<uint64_t> parseNumber(std::string_view text, int base)
+{
+    uint64_t value = 0;
+    auto const [end, error] = std::from_chars(text.data(), text.data() + text.size(), value, base);
+    if (error != std::errc() || end != text.data() + text.size() || text.empty())
+        return std::nullopt;
+    return value;
+}
+
+HttpMessageReader::HttpMessageReader(Kind kind, HttpSizeLimits limits)
+    : kind(kind)
+    , limits(limits)
+{
+}
+
+Poco::Net::HTTPMessage& HttpMessageReader::head()
+{
+    if (this->kind == Kind::Request)
+        return this->requestHead;
+    return this->responseHead;
+}
+
+HttpMessageReader::Status HttpMessageReader::read(std::string& input)
+{
+    while (true) {
+        if (this->stage == Stage::Done)
+            return Status::Complete;
+        auto const before = this->stage;
+        auto const status = this->readStage(input);
+        if (status != Status::Complete)
+            return status;
+        if (this->stage == before)
+            return Status::NeedMore;
+    }
+}
+
+HttpMessageReader::Status HttpMessageReader::readStage(std::string& input)
+{
+    switch (this->stage) {
+    case Stage::Header:
+        return this->readHeader(input);
+    case Stage::FixedBody:
+        return this->takeBody(input, Stage::Done);
+    case Stage::ChunkSize:
+        return this->readChunkSize(input);
+    case Stage::ChunkData:
+        return this->takeBody(input, Stage::ChunkEnd);
+    case Stage::ChunkEnd:
+        return this->readChunkEnd(input);
+    case Stage::Trailer:
+        return this->readTrailer(input);
+    case Stage::Done:
+        break;
+    }
+    return Status::Complete;
+}
+
+HttpMessageReader::Status HttpMessageReader::readHeader(std::string& input)
+{
+    // RFC 9112, section 2.2: empty lines before a request line are ignored.
+    while (input.starts_with(lineEnd))
+        input.erase(0, lineEnd.size());
+    auto const end = input.find(headerEnd);
+    auto const size = end == std::string::npos ? input.size() : end + headerEnd.size();
+    if (size > this->limits.headerBytes)
+        return Status::HeaderTooLarge;
+    if (end == std::string::npos)
+        return Status::NeedMore;
+    auto const text = input.substr(0, size);
+    input.erase(0, size);
+    if (auto const status = this->parseHead(text); status != Status::Complete)
+        return status;
+    return this->startBody();
+}
+
+HttpMessageReader::Status HttpMessageReader::parseHead(std::string const& text)
+{
+    auto const firstLineEnd = text.find(lineEnd);
+    if (hasControlCharacter(std::string_view(text).substr(0, firstLineEnd)))
+        return Status::Malformed;
+    if (auto const status = checkFields(std::string_view(text).substr(firstLineEnd)); status != Status::Complete)
+        return status;
+    Poco::MemoryInputStream stream(text.data(), static_cast<std::streamsize>(text.size()));
+    try {
+        if (this->kind == Kind::Request)
+            this->requestHead.read(stream);
+        else
+            this->responseHead.read(stream);
+    } catch (Poco::Exception const&) {
+        return Status::Malformed;
+    }
+    if (this->kind == Kind::Request && (!isToken(this->requestHead.getMethod()) || this->requestHead.getURI().empty()))
+        return Status::Malformed;
+    auto const& version = this->head().getVersion();
+    if (!version.starts_with("HTTP/"))
+        return Status::Malformed;
+    if (!isSupportedVersion(version))
+        return Status::UnsupportedVersion;
+    if (this->kind == Kind::Request && version == Poco::Net::HTTPMessage::HTTP_1_1 && !this->requestHead.has("Host"))
+        return Status::Malformed;
+    return Status::Complete;
+}
+
+HttpMessageReader::Status HttpMessageReader::startBody()
+{
+    auto const& fields = this->head();
+    bool const hasCoding = fields.has(Poco::Net::HTTPMessage::TRANSFER_ENCODING);
+    // Two lengths, or a length beside a coding, can be framed in two ways (request smuggling).
+    auto const lengths = std::count_if(fields.begin(), fields.end(),
+        [](auto const& field) { return Poco::icompare(field.first, Poco::Net::HTTPMessage::CONTENT_LENGTH) == 0; });
+    if (lengths > 1 || (lengths && hasCoding))
+        return Status::Malformed;
+    if (hasCoding) {
+        if (Poco::icompare(fields.getTransferEncoding(), "chunked") != 0)
+            return Status::UnsupportedCoding;
+        this->stage = Stage::ChunkSize;
+        return Status::Complete;
+    }
+    if (this->kind == Kind::Response) {
+        auto const code = static_cast<int>(this->responseHead.getStatus());
+        if (code == 204 || code == 304) {
+            this->stage = Stage::Done;
+            return Status::Complete;
+        }
+        // Without a length the end of the body cannot be told from a cut connection.
+        if (!lengths)
+            return Status::Malformed;
+    }
+    if (!lengths) {
+        this->stage = Stage::Done;
+        return Status::Complete;
+    }
+    auto const length = parseNumber(fields.get(Poco::Net::HTTPMessage::CONTENT_LENGTH), 10);
+    if (!length)
+        return Status::Malformed;
+    if (*length > this->limits.bodyBytes)
+        return Status::BodyTooLarge;
+    this->remaining = *length;
+    this->stage = Stage::FixedBody;
+    return Status::Complete;
+}
+
+HttpMessageReader::Status HttpMessageReader::takeBody(std::string& input, Stage next)
+{
+    auto const size = std::min<uint64_t>(this->remaining, input.size());
+    this->bodyText.append(input, 0, size);
+    input.erase(0, size);
+    this->remaining -= size;
+    if (this->remaining)
+        return Status::NeedMore;
+    this->stage = next;
+    return Status::Complete;
+}
+
+HttpMessageReader::Status HttpMessageReader::readChunkSize(std::string& input)
+{
+    auto const end = input.find(lineEnd);
+    if (std::min(end, input.size()) > longestChunkLine)
+        return Status::Malformed;
+    if (end == std::string::npos)
+        return Status::NeedMore;
+    auto const line = std::string_view(input).substr(0, end);
+    auto const size = parseNumber(line.substr(0, line.find(';')), 16);
+    if (!size)
+        return Status::Malformed;
+    if (*size > this->limits.bodyBytes - this->bodyText.size())
+        return Status::BodyTooLarge;
+    input.erase(0, end + lineEnd.size());
+    this->remaining = *size;
+    this->stage = *size ? Stage::ChunkData : Stage::Trailer;
+    return Status::Complete;
+}
+
+HttpMessageReader::Status HttpMessageReader::readChunkEnd(std::string& input)
+{
+    if (input.size() < lineEnd.size())
+        return Status::NeedMore;
+    if (!input.starts_with(lineEnd))
+        return Status::Malformed;
+    input.erase(0, lineEnd.size());
+    this->stage = Stage::ChunkSize;
+    return Status::Complete;
+}
+
+HttpMessageReader::Status HttpMessageReader::readTrailer(std::string& input)
+{
+    while (true) {
+        auto const end = input.find(lineEnd);
+        if (this->trailerBytes + std::min(end, input.size()) > this->limits.headerBytes)
+            return Status::HeaderTooLarge;
+        if (end == std::string::npos)
+            return Status::NeedMore;
+        this->trailerBytes += end + lineEnd.size();
+        input.erase(0, end + lineEnd.size());
+        if (end == 0)
+            break;
+    }
+    this->stage = Stage::Done;
+    return Status::Complete;
+}
+
+} // namespace Toucan
--- /dev/null
+++ b/Libraries/Net/HttpMessageReader.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace Toucan {
+
+struct HttpSizeLimits {
+    /// Start line and header fields together.
+    size_t headerBytes { 16384 };
+    size_t bodyBytes { 65536 };
+};
+
+/// Reads one HTTP/1.1 message (RFC 9112) from a growing buffer. Message framing is strict: what two receivers could
+/// frame differently is refused.
+class HttpMessageReader {
+public:
+    enum class Kind {
+        Request,
+        Response,
+    };
+    enum class Status {
+        NeedMore,
+        Complete,
+        Malformed,
+        HeaderTooLarge,
+        BodyTooLarge,
+        /// A transfer coding other than "chunked".
+        UnsupportedCoding,
+        UnsupportedVersion,
+    };
+
+    HttpMessageReader(Kind kind, HttpSizeLimits limits);
+
+    /// Removes what it uses from the front of `input`. After Complete the rest of `input` belongs to the next message.
+    Status read(std::string& input);
+    /// Whether the header was read and the body is still expected.
+    bool expectsBody() const { return this->stage != Stage::Header && this->stage != Stage::Done; }
+
+    Poco::Net::HTTPRequest& request() { return this->requestHead; }
+    Poco::Net::HTTPResponse& response() { return this->responseHead; }
+    std::string& body() { return this->bodyText; }
+
+private:
+    enum class Stage {
+        Header,
+        FixedBody,
+        ChunkSize,
+        ChunkData,
+        ChunkEnd,
+        Trailer,
+        Done,
+    };
+
+    Status readHeader(std::string& input);
+    Status parseHead(std::string const& text);
+    Status startBody();
+    Status readStage(std::string& input);
+    Status takeBody(std::string& input, Stage next);
+    Status readChunkSize(std::string& input);
+    Status readChunkEnd(std::string& input);
+    Status readTrailer(std::string& input);
+    Poco::Net::HTTPMessage& head();
+
+    Kind kind;
+    HttpSizeLimits limits;
+    Stage stage { Stage::Header };
+    /// Body or chunk bytes that are still to come.
+    uint64_t remaining { 0 };
+    size_t trailerBytes { 0 };
+    Poco::Net::HTTPRequest requestHead;
+    Poco::Net::HTTPResponse responseHead;
+    std::string bodyText;
+};
+
+} // namespace Toucan
--- /dev/null
+++ b/Libraries/Net/HttpServer.cpp
@@ -0,0 +1,45 @@
+#include "Net/HttpServer.h"
+
+#include <utility>
+
+namespace Toucan {
+
+HttpServer::HttpServer(EventLoop& loop, std::string const& address, Limits limits, HttpServerSession::Hooks hooks)
+    : loop(loop)
+    , limits(limits)
+    , hooks(std::move(hooks))
+    , listener(loop, address, [this](Poco::Net::StreamSocket const& socket) { this->accept(socket); })
+{
+    this->hooks.closed = [this](HttpServerSession::Pointer const& session) { this->sessions.erase(session); };
+}
+
+HttpServer::~HttpServer()
+{
+    for (auto const& session : std::exchange(this->sessions, {}))
+        session->close();
+}
+
+void HttpServer::accept(Poco::Net::StreamSocket const& socket)
+{
+    bool const full = this->sessions.size() >= this->limits.connections;
+    auto sessionHooks = this->hooks;
+    if (full)
+        sessionHooks.closed = nullptr;
+    auto const session = HttpServerSession::start(this->loop, socket, this->limits.session, std::move(sessionHooks));
+    if (!full) {
+        this->sessions.insert(session);
+        return;
+    }
+    session->refuse({ Poco::Net::HTTPResponse::HTTP_SERVICE_UNAVAILABLE, "Too many connections",
+        "Try another node or retry later" });
+}
+
+void HttpServer::beginStop()
+{
+    this->listener.close();
+    auto const current = this->sessions;
+    for (auto const& session : current)
+        session->closeWhenIdle();
+}
+
+} // namespace Toucan
--- /dev/null
+++ b/Libraries/Net/HttpServer.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "Net/HttpServerSession.h"
+#include "Net/TcpListener.h"
+
+#include <cstddef>
+#include <memory>
+#include <string>
+#include <unordered_set>
+
+namespace Toucan {
+
+/// Listener with a bounded number of HTTP sessions. A connection beyond the bound is answered 503 and closed.
+class HttpServer {
+public:
+    struct Limits {
+        HttpServerLimits session;
+        size_t connections { 1000 };
+    };
+
+    /// Throws as TcpListener does. `hooks.closed` must not be set.
+    HttpServer(EventLoop& loop, std::string const& address, Limits limits, HttpServerSession::Hooks hooks);
+    ~HttpServer();
+    HttpServer(HttpServer const&) = delete;
+    HttpServer& operator=(HttpServer const&) = delete;
+
+    Poco::Net::SocketAddress address() const { return this->listener.address(); }
+    size_t connections() const { return this->sessions.size(); }
+    /// Accepts no more connections, closes idle ones, and the others after their running request.
+    void beginStop();
+
+private:
+    void accept(Poco::Net::StreamSocket const& socket);
+
+    EventLoop& loop;
+    Limits limits;
+    HttpServerSession::Hooks hooks;
+    std::unordered_set<HttpServerSession::Pointer> sessions;
+    TcpListener listener;
+};
+
+} // namespace Toucan
--- /dev/null
+++ b/Libraries/Net/HttpServerSession.cpp
@@ -0,0 +1,208 @@
+#include "Net/HttpServerSession.h"
+
+#include <Poco/Net/HTTPServerSession.h>
+#include <sstream>
+
+namespace Toucan {
+
+using Poco::Net::HTTPResponse;
+using Status = HttpMessageReader::Status;
+
+static HttpFault faultOf(Status status, HttpServerLimits const& limits)
+{
+    switch (status) {
+    case Status::HeaderTooLarge:
+        return { HTTPResponse::HTTP_REQUEST_HEADER_FIELDS_TOO_LARGE, "The header is too large",
+            "Send at most " + std::to_string(limits.sizes.headerBytes)
+                + " bytes, 100 fields and 8192 bytes for each field" };
+    case Status::BodyTooLarge:
+        return { HTTPResponse::HTTP_REQUEST_ENTITY_TOO_LARGE, "The body is too large",
+            "Send at most " + std::to_string(limits.sizes.bodyBytes) + " bytes" };
+    case Status::UnsupportedCoding:
+        return { HTTPResponse::HTTP_NOT_IMPLEMENTED, "The transfer coding is not supported",
+            "Send the body with Content-Length or in chunks" };
+    case Status::UnsupportedVersion:
+        return { HTTPResponse::HTTP_VERSION_NOT_SUPPORTED, "The HTTP version is not supported", "Use HTTP/1.1" };
+    default:
+        return { HTTPResponse::HTTP_BAD_REQUEST, "The request is not valid HTTP/1.1",
+            "Send a request as RFC 9112 says" };
+    }
+}
+
+HttpServerSession::Pointer HttpServerSession::start(
+    EventLoop& loop, Poco::Net::StreamSocket const& socket, HttpServerLimits limits, Hooks hooks)
+{
+    Pointer session(new HttpServerSession(loop, limits, std::move(hooks)));
+    SocketChannel::Hooks channelHooks;
+    channelHooks.received = [session] { session->onReceived(); };
+    channelHooks.drained = [session] { session->onDrained(); };
+    channelHooks.ended = [session](SocketChannel::End end) { session->onEnded(end); };
+    session->channel = SocketChannel::adopt(loop, socket, std::move(channelHooks));
+    session->enterIdle();
+    return session;
+}
+
+HttpServerSession::HttpServerSession(EventLoop& loop, HttpServerLimits limits, Hooks hooks)
+    : loop(loop)
+    , limits(limits)
+    , hooks(std::make_shared<Hooks>(std::move(hooks)))
+    , reader(HttpMessageReader::Kind::Request, limits.sizes)
+{
+}
+
+void HttpServerSession::setTimer(Milliseconds delay, void (HttpServerSession::*task)())
+{
+    this->loop.cancel(this->timer);
+    this->timer
+        = this->loop.schedule(Clock::now() + delay, [self = this->shared_from_this(), task] { ((*self).*task)(); });
+}
+
+void HttpServerSession::enterIdle()
+{
+    this->state = State::Idle;
+    this->reader = HttpMessageReader(HttpMessageReader::Kind::Request, this->limits.sizes);
+    this->continueSent = false;
+    this->setTimer(this->limits.idleTimeout, &HttpServerSession::close);
+}
+
+void HttpServerSession::onReceived()
+{
+    if (this->state == State::Idle) {
+        this->state = State::Reading;
+        this->setTimer(this->limits.requestTimeout, &HttpServerSession::onRequestTimeout);
+    }
+    if (this->state == State::Reading) {
+        this->readRequest();
+        return;
+    }
+    // Bytes of a next request: they are not used, and the sender is slowed until the connection closes.
+    this->keepAlive = false;
+    if (this->channel->input().size() > this->limits.sizes.headerBytes)
+        this->channel->setReading(false);
+}
+
+void HttpServerSession::readRequest()
+{
+    auto const status = this->reader.read(this->channel->input());
+    if (status == Status::NeedMore) {
+        this->sendContinue();
+        return;
+    }
+    if (status != Status::Complete) {
+        this->refuse(faultOf(status, this->limits));
+        return;
+    }
+    this->loop.cancel(this->timer);
+    this->state = State::Running;
+    this->keepAlive = this->reader.request().getKeepAlive() && this->channel->input().empty();
+    auto const current = this->hooks;
+    current->request(this->shared_from_this(), { this->reader.request(), std::move(this->reader.body()) });
+}
+
+void HttpServerSession::sendContinue()
+{
+    if (this->continueSent || !this->reader.expectsBody() || !this->reader.request().getExpectContinue())
+        return;
+    this->continueSent = true;
+    this->channel->write("HTTP/1.1 100 Continue\r\n\r\n");
+}
+
+void HttpServerSession::respond(HTTPResponse& head, std::string_view body)
+{
+    if (this->state != State::Running)
+        return;
+    this->keepAlive = this->keepAlive && !this->closeRequested;
+    this->sendResponse(head, body);
+}
+
+void HttpServerSession::refuse(HttpFault const& fault)
+{
+    if (this->state == State::Closed || this->state == State::Responding)
+        return;
+    HTTPResponse head(HTTPResponse::HTTP_1_1, fault.status);
+    std::string body = fault.detail + ". " + fault.remedy + "\n";
+    head.setContentType("text/plain");
+    if (this->hooks->describeFault)
+        this->hooks->describeFault(fault, head, body);
+    this->keepAlive = false;
+    this->sendResponse(head, body);
+}
+
+void HttpServerSession::sendResponse(HTTPResponse& head, std::string_view body)
+{
+    head.setVersion(HTTPResponse::HTTP_1_1);
+    head.setContentLength(static_cast<std::streamsize>(body.size()));
+    head.set("Connection", this->keepAlive ? "keep-alive" : "close");
+    std::ostringstream text;
+    head.write(text);
+    this->state = State::Responding;
+    this->setTimer(this->limits.responseTimeout, &HttpServerSession::close);
+    this->channel->write(text.str());
+    this->channel->write(body);
+    if (!this->keepAlive)
+        this->finish();
+}
+
+void HttpServerSession::onDrained()
+{
+    if (this->state != State::Responding)
+        return;
+    // Bytes that came after the response was written still belong to a request that nobody has started.
+    if (!this->keepAlive || this->closeRequested) {
+        this->finish();
+        return;
+    }
+    this->enterIdle();
+    if (!this->channel->input().empty())
+        this->onReceived();
+}
+
+void HttpServerSession::onEnded(SocketChannel::End)
+{
+    if (this->state == State::Running) {
+        auto const current = this->hooks;
+        if (current->gone)
+            current->gone(this->shared_from_this());
+    }
+    if (this->state != State::Responding || this->channel->isClosed())
+        this->close();
+    else
+        this->keepAlive = false;
+}
+
+void HttpServerSession::onRequestTimeout()
+{
+    this->refuse({ HTTPResponse::HTTP_REQUEST_TIMEOUT, "The request was not received in time",
+        "Send the whole request within " + std::to_string(static_cast<int>(this->limits.requestTimeout.value))
+            + " ms" });
+}
+
+void HttpServerSession::closeWhenIdle()
+{
+    this->closeRequested = true;
+    if (this->state == State::Idle)
+        this->close();
+}
+
+void HttpServerSession::finish()
+{
+    if (this->state == State::Closed)
+        return;
+    auto const self = this->shared_from_this();
+    this->state = State::Closed;
+    this->loop.cancel(this->timer);
+    // The channel sends what is left and closes itself within its own bound.
+    this->channel->closeAfterOutput();
+    auto const current = std::exchange(this->hooks, std::make_shared<Hooks>());
+    if (current->closed)
+        current->closed(self);
+}
+
+void HttpServerSession::close()
+{
+    auto const self = this->shared_from_this();
+    this->finish();
+    this->channel->close();
+}
+
+} // namespace Toucan
--- /dev/null
+++ b/Libraries/Net/HttpServerSession.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include "Net/HttpMessageReader.h"
+#include "Net/SocketChannel.h"
+
+#include <Poco/Net/HTTPResponse.h>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace Toucan {
+
+struct HttpServerLimits {
+    HttpSizeLimits sizes;
+    /// Time from the first byte of a request to its last.
+    Milliseconds requestTimeout { 10000 };
+    /// Time without a request on a kept connection.
+    Milliseconds idleTimeout { 60000 };
+    /// Time for the peer to take a response.
+    Milliseconds responseTimeout { 10000 };
+};
+
+struct HttpServerRequest {
+    Poco::Net::HTTPRequest head;
+    std::string body;
+};
+
+/// Error that the session answers by itself, for a hook that writes its body.
+struct HttpFault {
+    Poco::Net::HTTPResponse::HTTPStatus status;
+    std::string detail;
+    std::string remedy;
+};
+
+/// Server side of one HTTP/1.1 connection (RFC 9112). It handles one request at a time. A request that is sent before
+/// the previous answer has ended is not run: the answer closes the connection, so that the peer repeats the request. A
+/// peer that closes its side while a request runs counts as gone.
+class HttpServerSession : public std::enable_shared_from_this<HttpServerSession> {
+public:
+    using Pointer = std::shared_ptr<HttpServerSession>;
+    struct Hooks {
+        /// A whole request; respond() must be called once.
+        std::function<void(Pointer const&, HttpServerRequest&&)> request;
+        /// The peer has gone while its request was running; respond() then does nothing.
+        std::function<void(Pointer const&)> gone;
+        std::function<void(Pointer const&)> closed;
+        /// Fills in the body of an error answer; plain text when not set.
+        std::function<void(HttpFault const&, Poco::Net::HTTPResponse&, std::string& body)> describeFault;
+    };
+
+    static Pointer start(EventLoop& loop, Poco::Net::StreamSocket const& socket, HttpServerLimits limits, Hooks hooks);
+
+    /// Answers the running request. Sets the length and the connection header of `head`.
+    void respond(Poco::Net::HTTPResponse& head, std::string_view body);
+    /// Answers with a fault and closes the connection.
+    void refuse(HttpFault const& fault);
+    /// Closes after the running request, or at once when there is none.
+    void closeWhenIdle();
+    void close();
+    bool isRunning() const { return this->state == State::Running; }
+
+private:
+    enum class State {
+        Idle,
+        Reading,
+        Running,
+        Responding,
+        Closed,
+    };
+
+    HttpServerSession(EventLoop& loop, HttpServerLimits limits, Hooks hooks);
+
+    void onReceived();
+    void readRequest();
+    void sendContinue();
+    void onDrained();
+    void onEnded(SocketChannel::End end);
+    void onRequestTimeout();
+    void sendResponse(Poco::Net::HTTPResponse& head, std::string_view body);
+    void enterIdle();
+    void finish();
+    void setTimer(Milliseconds delay, void (HttpServerSession::*task)());
+
+    EventLoop& loop;
+    HttpServerLimits limits;
+    std::shared_ptr<Hooks> hooks;
+    std::shared_ptr<SocketChannel> channel;
+    HttpMessageReader reader;
+    EventLoop::Timer timer;
+    State state { State::Idle };
+    bool keepAlive { true };
+    bool closeRequested { false };
+    bool continueSent { false };
+};
+
+} // namespace Toucan
--- /dev/null
+++ b/Libraries/Net/TcpListener.cpp
@@ -0,0 +1,60 @@
+#include "Net/TcpListener.h"
+
+#include "Base/Error.h"
+#include <Poco/Exception.h>
+#include <cerrno>
+
+namespace Toucan {
+
+constexpr int backlog = 1024;
+constexpr size_t acceptsPerTurn = 64;
+/// Pause after a failed accept, for example when the process has no free descriptors.
+constexpr Milliseconds acceptPause { 50 };
+
+TcpListener::TcpListener(EventLoop& loop, std::string const& address, Accepted accepted)
+    : loop(loop)
+    , accepted(std::move(accepted))
+{
+    try {
+        // Without SO_REUSEPORT, so that a second process on the same port fails instead of taking half of the load.
+        this->socket.bind(Poco::Net::SocketAddress(address), true, false);
+        this->socket.listen(backlog);
+    } catch (Poco::Exception const& exception) {
+        throw Error(ErrorKind::InvalidSettings, "Cannot listen on " + address + ": " + exception.displayText(),
+            "Choose an address of this VM and a free port");
+    }
+    this->socket.setBlocking(false);
+    this->loop.watch(this->socket, Poco::Net::PollSet::POLL_READ, [this](int) { this->acceptReady(); });
+}
+
+TcpListener::~TcpListener() { this->close(); }
+
+void TcpListener::close()
+{
+    if (!this->open)
+        return;
+    this->open = false;
+    this->loop.cancel(this->resumeTimer);
+    this->loop.unwatch(this->socket);
+    this->socket.close();
+}
+
+void TcpListener::acceptReady()
+{
+    for (size_t count = 0; count < acceptsPerTurn && this->open; ++count) {
+        try {
+            auto const connection = this->socket.acceptConnection();
+            this->accepted(connection);
+        } catch (Poco::Exception const& exception) {
+            if (exception.code() == EMFILE || exception.code() == ENFILE) {
+                this->loop.update(this->socket, 0);
+                this->resumeTimer = this->loop.schedule(Clock::now() + acceptPause,
+                    [this] { this->loop.update(this->socket, Poco::Net::PollSet::POLL_READ); });
+            }
+            // Otherwise nothing more is waiting, or the connection was reset before it was accepted.
+            return;
+        }
+    }
+}
+
+} // namespace Toucan
--- /dev/null
+++ b/Tests/Net/TestHttpClientPool.cpp
@@ -0,0 +1,238 @@
+#include "Net/HttpClientPool.h"
+#include "NetTestSupport.h"
+
+#include <algorithm>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "CppUTest/TestHarness.h"
+
+using namespace Toucan;
+
+static std::string response(std::string const& body)
+{
+    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+// clang-format off
+TEST_GROUP(HttpClientPool)
+{
+    EventLoop loop;
+    std::unique_ptr<HttpClientPool> pool;
+    std::vector<HttpClientResult> results;
+    RawListener listener;
+
+    void setup() override
+    {
+        HttpClientPool::Limits limits;
+        limits.idleTimeout = 100_ms;
+        limits.sizes = { 2048, 10000 };
+        limits.waiting = 2;
+        this->pool = std::make_unique<HttpClientPool>(this->loop, limits);
+    }
+    void teardown() override { this->pool.reset(); }
+
+    void send(std::string const& body, HttpExchange::Repeat repeat = HttpExchange::Repeat::Forbidden,
+        uint32_t connections = 1, HttpExchange::WhenBusy whenBusy = HttpExchange::WhenBusy::Wait)
+    {
+        HttpExchange exchange;
+        exchange.head = Poco::Net::HTTPRequest("POST", "/v1/search");
+        exchange.body = std::make_shared<std::string const>(body);
+        exchange.repeat = repeat;
+        exchange.whenBusy = whenBusy;
+        exchange.timeout = 200_ms;
+        exchange.done = [this](HttpClientResult&& result) { this->results.push_back(std::move(result)); };
+        this->pool->send(this->listener.address(), connections, std::move(exchange));
+    }
+    RawPeer accept()
+    {
+        runUntil(this->loop, 500_ms, [this] { return this->listener.hasConnection(); });
+        return this->listener.accept();
+    }
+    Milliseconds waitForResults(size_t count)
+    {
+        return runUntil(this->loop, 1000_ms, [&] { return this->results.size() >= count; });
+    }
+    void checkResult(size_t index, HttpTransport transport)
+    {
+        CHECK(this->results.size() > index);
+        CHECK(this->results[index].transport == transport);
+    }
+};
+// clang-format on
+
+// Guards against a new connection for each exchange.
+TEST(HttpClientPool, ReusesTheConnection)
+{
+    this->send("one");
+    auto peer = this->accept();
+    peer.receiveUntilText(this->loop, 500_ms, "one");
+    peer.send(response("first"));
+    this->waitForResults(1);
+    this->send("two");
+    peer.receiveUntilText(this->loop, 500_ms, "two");
+    peer.send(response("second"));
+    this->waitForResults(2);
+    this->checkResult(1, HttpTransport::Answered);
+    STRCMP_EQUAL("second", this->results[1].body.c_str());
+    CHECK_FALSE(this->listener.hasConnection());
+}
+
+// Guards against a refused connection that counts as "may have run".
+TEST(HttpClientPool, ReportsARefusedConnection)
+{
+    auto const address = this->listener.address();
+    this->listener.socket.close();
+    HttpExchange exchange;
+    exchange.timeout = 500_ms;
+    exchange.done = [this](HttpClientResult&& result) { this->results.push_back(std::move(result)); };
+    this->pool->send(address, 1, std::move(exchange));
+    auto const time = this->waitForResults(1);
+    CHECK(time < 100_ms);
+    this->checkResult(0, HttpTransport::ConnectFailed);
+    LONGS_EQUAL(0, this->pool->openConnections(address));
+}
+
+// Guards against invalid responses and responses cut by a broken connection that count as whole.
+TEST(HttpClientPool, ReportsCutAndInvalidResponsesAsBroken)
+{
+    std::vector<std::string> const table {
+        "",
+        "HTTP/1.1 200 OK\r\nConte",
+        "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nshort",
+        "HTTP/1.1 200 OK\r\n\r\nuntil the end",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nshortX\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nabc",
+        "HTTP/1.1 200 OK\r\nContent-Length: 10001\r\n\r\n",
+        "SMTP ready\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nX: " + std::string(3000, 'a'),
+    };
+    for (auto const& bytes : table) {
+        this->results.clear();
+        this->send("one", HttpExchange::Repeat::Allowed);
+        auto peer = this->accept();
+        peer.receiveUntilText(this->loop, 500_ms, "one");
+        peer.send(bytes);
+        peer.socket.shutdownSend();
+        auto const time = this->waitForResults(1);
+        CHECK_TEXT(time < 100_ms, bytes.c_str());
+        CHECK_TEXT(this->results.front().transport == HttpTransport::Broken, bytes.c_str());
+        LONGS_EQUAL(0, this->pool->openConnections(this->listener.address()));
+    }
+}
+
+// Guards against a late response that is taken for the response of the next exchange.
+TEST(HttpClientPool, ClosesTheConnectionAfterATimeout)
+{
+    this->send("one");
+    auto slow = this->accept();
+    slow.receiveUntilText(this->loop, 150_ms, "one");
+    auto const time = this->waitForResults(1);
+    CHECK(time < 300_ms);
+    this->checkResult(0, HttpTransport::TimedOut);
+    this->send("two");
+    slow.send(response("late"));
+    auto fresh = this->accept();
+    fresh.receiveUntilText(this->loop, 500_ms, "two");
+    fresh.send(response("right"));
+    this->waitForResults(2);
+    STRCMP_EQUAL("right", this->results[1].body.c_str());
+}
+
+// Guards against a response that nobody asked for and that the next exchange would get.
+TEST(HttpClientPool, ClosesAConnectionWithSurplusBytes)
+{
+    this->send("one");
+    auto peer = this->accept();
+    peer.receiveUntilText(this->loop, 500_ms, "one");
+    peer.send(response("first") + response("surplus"));
+    this->waitForResults(1);
+    STRCMP_EQUAL("first", this->results[0].body.c_str());
+    peer.receiveUntilClosed(this->loop, 500_ms);
+    CHECK(peer.closed);
+}
+
+// Guards against a failed exchange whenever a target closes an idle connection.
+TEST(HttpClientPool, RepeatsOnANewConnectionWhenTheKeptOneWasClosed)
+{
+    this->send("one", HttpExchange::Repeat::Allowed);
+    auto peer = this->accept();
+    peer.receiveUntilText(this->loop, 500_ms, "one");
+    peer.send(response("first"));
+    this->waitForResults(1);
+    this->send("two", HttpExchange::Repeat::Allowed);
+    peer.receiveUntilText(this->loop, 500_ms, "two");
+    peer.socket.close();
+    auto fresh = this->accept();
+    fresh.receiveUntilText(this->loop, 500_ms, "two");
+    fresh.send(response("second"));
+    this->waitForResults(2);
+    this->checkResult(1, HttpTransport::Answered);
+}
+
+// Guards against a command that runs twice because its connection broke after it was sent.
+TEST(HttpClientPool, NeverRepeatsANonIdempotentExchangeThatWasSent)
+{
+    this->send("one");
+    auto peer = this->accept();
+    peer.receiveUntilText(this->loop, 500_ms, "one");
+    peer.send(response("first"));
+    this->waitForResults(1);
+    this->send("two");
+    peer.receiveUntilText(this->loop, 500_ms, "two");
+    peer.socket.close();
+    this->waitForResults(2);
+    this->checkResult(1, HttpTransport::Broken);
+    CHECK_FALSE(this->listener.hasConnection());
+}
+
+// Guards against a command that fails although no byte of it was sent on the closed connection.
+TEST(HttpClientPool, RepeatsANonIdempotentExchangeThatWasNotSent)
+{
+    this->send("one");
+    auto peer = this->accept();
+    peer.receiveUntilText(this->loop, 500_ms, "one");
+    peer.send(response("first"));
+    this->waitForResults(1);
+    peer.socket.close();
+    // The request is written at the end of the turn in which the loop sees the closed connection.
+    this->send("two");
+    auto fresh = this->accept();
+    fresh.receiveUntilText(this->loop, 500_ms, "two");
+    fresh.send(response("second"));
+    this->waitForResults(2);
+    this->checkResult(1, HttpTransport::Answered);
+}
+
+// Guards against more connections than the target allows, and against waiting without bound.
+TEST(HttpClientPool, BoundsConnectionsAndWaitingExchanges)
+{
+    for (int count = 0; count < 4; ++count)
+        this->send("query");
+    this->send("drop", HttpExchange::Repeat::Forbidden, 1, HttpExchange::WhenBusy::Drop);
+    this->waitForResults(2);
+    this->checkResult(0, HttpTransport::NoConnection);
+    this->checkResult(1, HttpTransport::NoConnection);
+    LONGS_EQUAL(1, this->pool->openConnections(this->listener.address()));
+    this->waitForResults(5);
+    LONGS_EQUAL(5, this->results.size());
+    CHECK(std::count_if(this->results.begin(), this->results.end(), [](auto const& result) {
+        return result.transport == HttpTransport::ConnectFailed;
+    }) == 2);
+}
+
+// Guards against idle connections that a target counts against the fleet.
+TEST(HttpClientPool, ClosesIdleConnections)
+{
+    this->send("one");
+    auto peer = this->accept();
+    peer.receiveUntilText(this->loop, 500_ms, "one");
+    peer.send(response("first"));
+    this->waitForResults(1);
+    auto const time = peer.receiveUntilClosed(this->loop, 1000_ms);
+    CHECK(peer.closed);
+    CHECK(time >= 80_ms);
+    CHECK(time < 300_ms);
+}
--- /dev/null
+++ b/Tests/Net/TestHttpServerSession.cpp
@@ -0,0 +1,283 @@
+#include "Net/HttpServer.h"
+#include "NetTestSupport.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "CppUTest/TestHarness.h"
+
+using namespace Toucan;
+
+namespace {
+
+HttpServer::Limits testLimits()
+{
+    HttpServer::Limits limits;
+    limits.session.sizes = { 2048, 1000 };
+    limits.session.requestTimeout = 150_ms;
+    limits.session.idleTimeout = 300_ms;
+    limits.session.responseTimeout = 300_ms;
+    limits.connections = 8;
+    return limits;
+}
+
+struct MalformedRequest {
+    char const* what;
+    std::string bytes;
+    char const* expectedStatus;
+};
+
+std::string post(std::string const& fields, std::string const& body)
+{
+    return "POST /echo HTTP/1.1\r\nHost: test\r\n" + fields + "\r\n" + body;
+}
+
+} // namespace
+
+// clang-format off
+TEST_GROUP(HttpServerSession)
+{
+    EventLoop loop;
+    std::vector<HttpServerRequest> requests;
+    std::vector<HttpServerSession::Pointer> running;
+    int gone { 0 };
+    bool answerAtOnce { true };
+    std::unique_ptr<HttpServer> server;
+
+    void setup() override
+    {
+        HttpServerSession::Hooks hooks;
+        hooks.request = [this](HttpServerSession::Pointer const& session, HttpServerRequest&& request) {
+            this->requests.push_back(std::move(request));
+            if (this->answerAtOnce)
+                this->answer(session, this->requests.back().body);
+            else
+                this->running.push_back(session);
+        };
+        hooks.gone = [this](HttpServerSession::Pointer const&) { ++this->gone; };
+        this->server = std::make_unique<HttpServer>(this->loop, "127.0.0.1:0", testLimits(), hooks);
+    }
+    void teardown() override
+    {
+        this->running.clear();
+        this->server.reset();
+    }
+    void answer(HttpServerSession::Pointer const& session, std::string const& body)
+    {
+        Poco::Net::HTTPResponse head;
+        session->respond(head, body);
+    }
+    RawPeer connect() { return RawPeer(this->server->address()); }
+};
+// clang-format on
+
+// Guards against a connection that is closed although both sides want to keep it.
+TEST(HttpServerSession, KeepsTheConnectionBetweenRequests)
+{
+    auto peer = this->connect();
+    peer.send(post("Content-Length: 3\r\n", "one"));
+    peer.receiveUntilText(this->loop, 500_ms, "\r\n\r\none");
+    peer.send(post("Content-Length: 3\r\n", "two"));
+    peer.receiveUntilText(this->loop, 500_ms, "\r\n\r\ntwo");
+    LONGS_EQUAL(2, this->requests.size());
+    CHECK_FALSE(peer.closed);
+    LONGS_EQUAL(1, this->server->connections());
+}
+
+// Guards against a reader that depends on how TCP cuts the bytes.
+TEST(HttpServerSession, ReadsAChunkedBodyByteByByte)
+{
+    auto peer = this->connect();
+    auto const bytes
+        = post("Transfer-Encoding: chunked\r\n", "3;x=y\r\nabc\r\nA\r\n0123456789\r\n0\r\nTrailer: 1\r\n\r\n");
+    for (char const byte : bytes) {
+        peer.send({ &byte, 1 });
+        this->loop.runOnce(1_ms);
+    }
+    peer.receiveUntilText(this->loop, 500_ms, "abc0123456789");
+    LONGS_EQUAL(1, this->requests.size());
+    STRCMP_EQUAL("abc0123456789", this->requests.front().body.c_str());
+}
+
+// Guards against requests that two receivers would frame differently, against unbounded buffers, and against errors
+// after which the connection stays open.
+TEST(HttpServerSession, RefusesMalformedRequestsWithinTheBound)
+{
+    std::vector<MalformedRequest> const table {
+        { "no version", "GET /\r\nHost: a\r\n\r\n", "400" },
+        { "text", "what is this\r\n\r\n", "400" },
+        { "control character in the request line", "GET /\x01 HTTP/1.1\r\nHost: a\r\n\r\n", "400" },
+        { "method is no token", "G(T / HTTP/1.1\r\nHost: a\r\n\r\n", "400" },
+        { "version 2.0", "GET / HTTP/2.0\r\nHost: a\r\n\r\n", "505" },
+        { "no host", "GET / HTTP/1.1\r\n\r\n", "400" },
+        { "field without colon", "GET / HTTP/1.1\r\nHost: a\r\nnonsense\r\n\r\n", "400" },
+        { "space before the colon", post("Content-Length : 3\r\n", "abc"), "400" },
+        { "folded field", post("X: a\r\n b\r\nContent-Length: 3\r\n", "abc"), "400" },
+        { "two lengths", post("Content-Length: 3\r\nContent-Length: 4\r\n", "abcd"), "400" },
+        { "length and coding", post("Content-Length: 3\r\nTransfer-Encoding: chunked\r\n", "0\r\n\r\n"), "400" },
+        { "negative length", post("Content-Length: -3\r\n", "abc"), "400" },
+        { "signed length", post("Content-Length: +3\r\n", "abc"), "400" },
+        { "length with a letter", post("Content-Length: 3a\r\n", "abc"), "400" },
+        { "length beyond 64 bits", post("Content-Length: 99999999999999999999\r\n", "abc"), "400" },
+        { "unknown coding", post("Transfer-Encoding: gzip\r\n", "abc"), "501" },
+        { "two codings", post("Transfer-Encoding: gzip, chunked\r\n", "0\r\n\r\n"), "501" },
+        { "chunk size is no number", post("Transfer-Encoding: chunked\r\n", "xyz\r\nabc\r\n"), "400" },
+        { "negative chunk size", post("Transfer-Encoding: chunked\r\n", "-1\r\nabc\r\n"), "400" },
+        { "chunk longer than its size", post("Transfer-Encoding: chunked\r\n", "2\r\nabc\r\n0\r\n\r\n"), "400" },
+        { "chunk beyond the bound", post("Transfer-Encoding: chunked\r\n", "FFFFFFFFFFFFFFFF\r\n"), "413" },
+        { "chunks beyond the bound together",
+            post("Transfer-Encoding: chunked\r\n", "3e0\r\n" + std::string(992, 'a') + "\r\n10\r\n"), "413" },
+        { "endless chunk extension", post("Transfer-Encoding: chunked\r\n", "1;" + std::string(400, 'a')), "400" },
+        { "endless trailer", post("Transfer-Encoding: chunked\r\n", "0\r\nA: " + std::string(3000, 'a')), "431" },
+        { "body beyond the bound", post("Content-Length: 1001\r\n", ""), "413" },
+        { "header beyond the bound", post("X: " + std::string(3000, 'a'), ""), "431" },
+    };
+    for (auto const& entry : table) {
+        auto peer = this->connect();
+        peer.send(entry.bytes);
+        auto const time = peer.receiveUntilClosed(this->loop, 500_ms);
+        CHECK_TEXT(peer.closed, entry.what);
+        CHECK_TEXT(time < 100_ms, entry.what);
+        CHECK_TEXT(peer.received.starts_with(std::string("HTTP/1.1 ") + entry.expectedStatus), entry.what);
+        CHECK_TEXT(peer.received.find("Connection: close") != std::string::npos, entry.what);
+    }
+    LONGS_EQUAL(0, this->requests.size());
+}
+
+// Guards against senders that hold connections by sending slowly: the time counts from the first byte.
+TEST(HttpServerSession, AnswersASlowRequestWithinTheTimeout)
+{
+    auto peer = this->connect();
+    auto const start = Clock::now();
+    auto nextByte = start;
+    peer.receiveUntil(this->loop, 1000_ms, [&] {
+        if (Clock::now() >= nextByte) {
+            peer.send("G");
+            nextByte += 10_ms;
+        }
+        return peer.received.find("408") != std::string::npos;
+    });
+    auto const time = Clock::now() - start;
+    CHECK(time >= 140_ms);
+    CHECK(time < 300_ms);
+    peer.receiveUntilClosed(this->loop, 500_ms);
+    CHECK(peer.closed);
+}
+
+// Guards against idle connections that are kept for ever.
+TEST(HttpServerSession, ClosesAnIdleConnection)
+{
+    auto peer = this->connect();
+    auto const time = peer.receiveUntilClosed(this->loop, 1000_ms);
+    CHECK(peer.closed);
+    CHECK(time >= 290_ms);
+    CHECK(time < 500_ms);
+    LONGS_EQUAL(0, this->server->connections());
+}
+
+// Guards against work that goes on for a caller that has gone.
+TEST(HttpServerSession, ReportsAHalfClosedConnectionAsGone)
+{
+    this->answerAtOnce = false;
+    auto peer = this->connect();
+    peer.send(post("Content-Length: 3\r\n", "one"));
+    runUntil(this->loop, 500_ms, [this] { return !this->running.empty(); });
+    peer.socket.shutdownSend();
+    auto const time = peer.receiveUntilClosed(this->loop, 500_ms);
+    CHECK(peer.closed);
+    CHECK(time < 100_ms);
+    LONGS_EQUAL(1, this->gone);
+    this->answer(this->running.front(), "late");
+    LONGS_EQUAL(0, this->server->connections());
+}
+
+// Guards against a half-sent request that is run.
+TEST(HttpServerSession, ClosesWhenARequestEndsEarly)
+{
+    auto peer = this->connect();
+    peer.send(post("Content-Length: 10\r\n", "short"));
+    this->loop.runOnce(5_ms);
+    peer.socket.shutdownSend();
+    auto const time = peer.receiveUntilClosed(this->loop, 500_ms);
+    CHECK(peer.closed);
+    CHECK(time < 100_ms);
+    LONGS_EQUAL(0, this->requests.size());
+}
+
+// Guards against a pipelined request that runs although the connection closes before its answer.
+TEST(HttpServerSession, AnswersOnlyTheFirstOfPipelinedRequests)
+{
+    auto peer = this->connect();
+    peer.send(post("Content-Length: 3\r\n", "one") + post("Content-Length: 3\r\n", "two"));
+    auto const time = peer.receiveUntilClosed(this->loop, 500_ms);
+    CHECK(peer.closed);
+    CHECK(time < 100_ms);
+    LONGS_EQUAL(1, this->requests.size());
+    CHECK(peer.received.find("Connection: close") != std::string::npos);
+    CHECK(peer.received.ends_with("\r\n\r\none"));
+}
+
+// Guards against a sender that fills the memory while its first request runs.
+TEST(HttpServerSession, BoundsInputWhileARequestRuns)
+{
+    this->answerAtOnce = false;
+    auto peer = this->connect();
+    peer.send(post("Content-Length: 3\r\n", "one"));
+    runUntil(this->loop, 500_ms, [this] { return !this->running.empty(); });
+    peer.send(std::string(1000000, 'x'));
+    for (int turn = 0; turn < 20; ++turn)
+        this->loop.runOnce(2_ms);
+    this->answer(this->running.front(), "done");
+    peer.receiveUntilText(this->loop, 500_ms, "done");
+    CHECK(peer.received.find("Connection: close") != std::string::npos);
+    LONGS_EQUAL(1, this->requests.size());
+}
+
+// Guards against a peer that never reads its answer and holds the connection.
+TEST(HttpServerSession, ClosesWhenTheAnswerIsNotRead)
+{
+    this->answerAtOnce = false;
+    auto peer = this->connect();
+    peer.send(post("Content-Length: 3\r\n", "one"));
+    runUntil(this->loop, 500_ms, [this] { return !this->running.empty(); });
+    std::string body;
+    body.resize(20000000, 'x');
+    this->answer(this->running.front(), body);
+    auto const time = runUntil(this->loop, 2000_ms, [this] { return this->server->connections() == 0; });
+    CHECK(time >= 280_ms);
+    CHECK(time < 600_ms);
+}
+
+// Guards against more sessions than descriptors.
+TEST(HttpServerSession, RefusesConnectionsBeyondTheBound)
+{
+    std::vector<RawPeer> peers;
+    peers.reserve(8);
+    for (int count = 0; count < 8; ++count)
+        peers.push_back(this->connect());
+    runUntil(this->loop, 200_ms, [this] { return this->server->connections() == 8; });
+    auto extra = this->connect();
+    auto const time = extra.receiveUntilClosed(this->loop, 300_ms);
+    CHECK(extra.closed);
+    CHECK(time < 100_ms);
+    CHECK(extra.received.starts_with("HTTP/1.1 503"));
+    LONGS_EQUAL(8, this->server->connections());
+}
+
+// Guards against a planned stop that cuts a running request.
+TEST(HttpServerSession, StopsAfterTheRunningRequest)
+{
+    this->answerAtOnce = false;
+    auto idle = this->connect();
+    auto peer = this->connect();
+    peer.send(post("Content-Length: 3\r\n", "one"));
+    runUntil(this->loop, 500_ms, [this] { return !this->running.empty(); });
+    this->server->beginStop();
+    idle.receiveUntilClosed(this->loop, 200_ms);
+    CHECK(idle.closed);
+    this->answer(this->running.front(), "done");
+    peer.receiveUntilClosed(this->loop, 500_ms);
+    CHECK(peer.received.ends_with("\r\n\r\ndone"));
+    CHECK(peer.received.find("Connection: close") != std::string::npos);
+}
