--- /dev/null
+++ b/Libraries/Engine/NodeCore.cpp
@@ -0,0 +1,468 @@
+#include "Engine/NodeCore.h"
+
+#include "Base/Error.h"
+#include "Engine/FrameCodec.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace Toucan {
+
+/// Pause between reads of the ownership table and the VM list until the first success.
+static constexpr auto firstReadPause = 500_ms;
+static constexpr auto vmListPeriod = 2'000_ms;
+/// Time after the announcement of leaving in which peers may still send parts.
+static constexpr auto leavingGrace = 1'000_ms;
+
+static std::string attemptPrefixOf(NodeEngine::Identity const& identity)
+{
+    return identity.name + '/' + std::to_string(identity.incarnation);
+}
+
+static Peer peerOf(NodeEngine::Identity const& identity)
+{
+    return { identity.name, identity.peerAddress, identity.failureDomain, identity.incarnation, PeerState::Alive };
+}
+
+NodeCore::NodeCore(
+    NodeEngine::Hooks engineHooks, NodeEngine::Identity nodeIdentity, std::vector<Peer> const& seeds, Milliseconds now)
+    : hooks(std::move(engineHooks))
+    , identity(std::move(nodeIdentity))
+    , currentTime(now)
+    , coordinator(this->coordinatorHooks(), attemptPrefixOf(this->identity))
+    , carrier(this->carrierHooks(), this->identity.name)
+    , keyOwner(this->keyOwnerHooks(), this->identity.name, this->identity.incarnation)
+    , membership(this->membershipHooks(), peerOf(this->identity))
+    , configurationState(this->configurationHooks(), this->identity.name)
+    , partRouter(this->partRouterHooks(), this->identity.name)
+    , commandRouter(this->commandRouterHooks(), this->identity.name)
+    , digestExchange(this->digestHooks())
+{
+    this->membership.seed(seeds, now);
+}
+
+Peer NodeCore::selfAsPeer() const
+{
+    auto self = peerOf(this->identity);
+    if (this->stopping)
+        self.state = PeerState::Leaving;
+    return self;
+}
+
+void NodeCore::sendFrame(std::string const& peer, Json::Value&& frame)
+{
+    auto const* known = this->membership.find(peer);
+    if (!known || known->address.empty())
+        return;
+    frame["from"] = this->identity.name;
+    // The receiver learns a new address and incarnation from any frame, not only from digests.
+    if (!frame.isMember("self"))
+        frame["self"] = FrameCodec::encodePeer(this->selfAsPeer());
+    this->hooks.sendFrame(peer, known->address, std::move(frame));
+}
+
+void NodeCore::install(ConfigurationPointer const& configuration)
+{
+    this->partRouter.setConfiguration(configuration);
+    this->carrier.setConfiguration(configuration, this->currentTime);
+    this->coordinator.setConfiguration(configuration, this->currentTime);
+    this->keyOwner.setConfiguration(configuration, this->currentTime);
+}
+
+std::string NodeCore::likelyOwner(std::string_view key) const
+{
+    if (auto owner = this->keyOwner.ownerOf(key); !owner.empty())
+        return owner;
+    auto const& configuration = this->configurationState.current();
+    if (!configuration)
+        return {};
+    auto const& records = this->keyOwner.records();
+    auto const found = records.find(keyRange(key, configuration->fleet.keyRanges));
+    return found == records.end() ? std::string() : found->second.owner;
+}
+
+void NodeCore::answer(CallerAnswer&& callerAnswer)
+{
+    if (auto const& configuration = this->configurationState.current()) {
+        if (auto const* service = configuration->service(callerAnswer.service)) {
+            auto const& objective = configuration->ruleOf(*service).objective;
+            auto const good = callerAnswer.status == 200 && callerAnswer.coverage.whole()
+                && callerAnswer.total <= objective.latency;
+            // A caller's own mistakes do not count against the service.
+            if (callerAnswer.status != 400 && callerAnswer.status != 409)
+                this->burnTracker.record(callerAnswer.service, good, this->currentTime);
+        }
+    }
+    this->hooks.answerCaller(std::move(callerAnswer));
+}
+
+void NodeCore::rejectRequest(CallerRequest const& request, int status, Problem&& problem)
+{
+    CallerAnswer rejection;
+    rejection.handle = request.handle;
+    rejection.requestId = request.requestId;
+    rejection.service = request.service;
+    rejection.status = status;
+    rejection.outcome = request.idempotence == Idempotence::Idempotent || status == 400 || status == 404
+        ? Outcome::NotRun
+        : Outcome::Unknown;
+    rejection.problem = std::move(problem);
+    this->answer(std::move(rejection));
+}
+
+void NodeCore::onCallerRequest(CallerRequest&& request, Milliseconds now)
+{
+    auto const& configuration = this->configurationState.current();
+    if (!configuration) {
+        this->rejectRequest(request, 503,
+            { "not-ready", "No configuration yet", "This node has not received a configuration",
+                "Send the request to another node, or try again in a second" });
+        return;
+    }
+    if (!configuration->service(request.service)) {
+        this->rejectRequest(request, 404,
+            { "unknown-service", "Unknown service", "No service is named \"" + request.service + '"',
+                "Check the service name against the output of tgctl view" });
+        return;
+    }
+    if (request.idempotence == Idempotence::Idempotent) {
+        this->coordinator.startQuery(std::move(request), now);
+        return;
+    }
+    if (!requestKeyTime(request.requestKey)) {
+        this->rejectRequest(request, 400,
+            { "invalid-request-key", "Invalid request key", "Toucan-Request-Key is not a UUIDv7 (RFC 9562)",
+                "Make one UUIDv7 for each logical request and repeat it on retries" });
+        return;
+    }
+    this->commandRouter.start(std::move(request), *configuration, now);
+}
+
+void NodeCore::refuse(std::string const& sender, PartRequest const& part, PartStatus status)
+{
+    PartResult result;
+    result.attempt = part.attempt;
+    result.target = part.target;
+    result.status = status;
+    result.requestId = part.requestId;
+    result.snapshot = part.snapshot;
+    result.shard = part.shard;
+    this->deliverResult(sender, std::move(result));
+}
+
+void NodeCore::submitParts(std::string const& sender, std::vector<PartRequest>&& parts, Milliseconds now)
+{
+    for (auto& part : parts) {
+        // Only candidates dial a target; a sender with another configuration must not make this node exceed the
+        // target's connection limit.
+        if (!this->partRouter.carries(part.service, part.target))
+            this->refuse(sender, part, PartStatus::NoCarrier);
+        else
+            this->carrier.submit(sender, std::move(part), now);
+    }
+}
+
+void NodeCore::deliverResult(std::string const& sender, PartResult&& result)
+{
+    if (sender != this->identity.name) {
+        this->outgoingResults[sender].push_back(std::move(result));
+        return;
+    }
+    this->deferred.emplace_back([this, result = std::move(result)]() mutable {
+        this->coordinator.onPartResult(std::move(result), this->currentTime);
+    });
+}
+
+void NodeCore::replyVerdict(std::string const& sender, CommandVerdict&& verdict)
+{
+    auto const separator = sender.rfind('|');
+    auto const node = sender.substr(0, separator);
+    auto const correlation = sender.substr(separator + 1);
+    if (node == this->identity.name) {
+        this->commandRouter.onVerdict(correlation, std::move(verdict), this->currentTime);
+        return;
+    }
+    auto frame = FrameCodec::encodeVerdict(verdict);
+    frame["correlation"] = correlation;
+    this->sendFrame(node, std::move(frame));
+}
+
+void NodeCore::onFrame(Json::Value const& frame, Milliseconds now)
+{
+    try {
+        auto const from = frame["from"].asString();
+        if (from.empty() || from == this->identity.name)
+            return;
+        if (frame.isMember("self")) {
+            auto const peer = FrameCodec::decodePeer(frame["self"]);
+            if (peer.name == from)
+                this->membership.onPeerHeard(peer, now);
+        }
+        this->configurationState.onPeerHeard(now);
+        this->dispatchFrame(frame["kind"].asString(), from, frame, now);
+    } catch (Error const&) {
+        ++this->invalidFrames;
+    } catch (Json::Exception const&) {
+        ++this->invalidFrames;
+    }
+}
+
+void NodeCore::dispatchFrame(
+    std::string const& kind, std::string const& from, Json::Value const& frame, Milliseconds now)
+{
+    if (kind == "parts") {
+        this->submitParts(from, FrameCodec::decodeParts(frame), now);
+    } else if (kind == "results") {
+        for (auto& result : FrameCodec::decodeResults(frame))
+            this->partRouter.onPeerResult(from, std::move(result));
+    } else if (kind == "cancel") {
+        for (auto const& attempt : frame["attempts"])
+            this->carrier.cancel(attempt.asString(), now);
+    } else if (kind == "command") {
+        this->keyOwner.submit(from + '|' + frame["correlation"].asString(), FrameCodec::decodeCommand(frame), now);
+    } else if (kind == "commandResult") {
+        this->commandRouter.onVerdict(frame["correlation"].asString(), FrameCodec::decodeVerdict(frame), now);
+    } else if (kind == "digest") {
+        this->digestExchange.receive(from, frame, now);
+    } else if (kind == "fetch") {
+        std::vector<std::string> known;
+        for (auto const& hash : frame["known"])
+            known.push_back(hash.asString());
+        if (this->configurationState.version() > 0)
+            this->sendFrame(from, FrameCodec::encodeUpdate(this->configurationState.answerFetch(known)));
+    } else if (kind == "fetched") {
+        this->configurationState.onUpdate(FrameCodec::decodeUpdate(frame), now);
+    } else if (kind == "probe") {
+        this->onProbe(from, frame, now);
+    } else if (kind == "probed") {
+        this->onProbed(from, frame, now);
+    } else {
+        ++this->unknownFrames;
+    }
+}
+
+void NodeCore::onProbe(std::string const& from, Json::Value const& frame, Milliseconds now)
+{
+    auto const subject = frame["subject"].asString();
+    if (subject.empty() || subject == this->identity.name) {
+        Json::Value reply;
+        reply["kind"] = "probed";
+        reply["peer"] = this->identity.name;
+        reply["number"] = frame["number"];
+        this->sendFrame(from, std::move(reply));
+        return;
+    }
+    // Numbers of forwarded probes have the highest bit set, which Membership never reaches with its own.
+    auto const number = (uint64_t { 1 } << 63U) | ++this->lastIndirectProbe;
+    this->indirectProbes[number] = { from, subject, frame["number"].asUInt64(), now };
+    Json::Value probe;
+    probe["kind"] = "probe";
+    probe["number"] = static_cast<Json::UInt64>(number);
+    this->sendFrame(subject, std::move(probe));
+}
+
+void NodeCore::onProbed(std::string const& from, Json::Value const& frame, Milliseconds now)
+{
+    auto const number = frame["number"].asUInt64();
+    auto const found = this->indirectProbes.find(number);
+    if (found == this->indirectProbes.end()) {
+        this->membership.onProbeAnswer(frame["peer"].asString(), number, now);
+        return;
+    }
+    auto const probe = found->second;
+    this->indirectProbes.erase(found);
+    if (probe.subject != from)
+        return;
+    Json::Value reply;
+    reply["kind"] = "probed";
+    reply["peer"] = probe.subject;
+    reply["number"] = static_cast<Json::UInt64>(probe.number);
+    this->sendFrame(probe.requester, std::move(reply));
+}
+
+void NodeCore::losePeer(std::string const& peer, Milliseconds now)
+{
+    this->membership.onConnectionBroken(peer, now);
+    this->partRouter.onPeerLost(peer);
+    this->commandRouter.onPeerLost(peer, now);
+    this->outgoingResults.erase(peer);
+    this->carrier.forgetSender(peer, now);
+}
+
+void NodeCore::noteLeavingTarget(std::string const& target)
+{
+    this->carrier.onTargetStatus(target, TargetState::Draining, {}, this->currentTime);
+    this->coordinator.noteTargetState(target, TargetState::Draining, this->currentTime);
+}
+
+void NodeCore::onVmList(std::vector<VmEntry> const& vms, Milliseconds now)
+{
+    auto const& configuration = this->configurationState.current();
+    std::set<std::string> targets;
+    if (configuration) {
+        for (auto const& [name, service] : configuration->services) {
+            for (auto const& [target, definition] : service.targets)
+                targets.insert(target);
+        }
+    }
+    std::vector<VmEntry> nodes;
+    std::vector<std::string> leaving;
+    for (auto const& vm : vms) {
+        if (!targets.contains(vm.name))
+            nodes.push_back(vm);
+        else if (vm.state == VmEntry::State::Leaving)
+            leaving.push_back(vm.name);
+    }
+    std::erase_if(nodes, [this](VmEntry const& vm) { return vm.name == this->identity.name; });
+    this->membership.onVmList(nodes, now);
+    this->digestExchange.setLeavingTargets(leaving, now);
+}
+
+void NodeCore::onStoreReply(StoreReply&& reply, Milliseconds now)
+{
+    switch (reply.kind) {
+    case StoreRequest::Kind::ReadConfiguration:
+        if (reply.update)
+            this->configurationState.onUpdate(std::move(*reply.update), now);
+        this->configurationState.onStoreRead(reply.reachable, now);
+        break;
+    case StoreRequest::Kind::ReadOwnership:
+        this->ownershipRead = this->ownershipRead || reply.reachable;
+        for (auto const& record : reply.records)
+            this->keyOwner.onRecord(record, now);
+        break;
+    case StoreRequest::Kind::WriteOwnership:
+        this->keyOwner.onWriteResult(reply.range, reply.writeResult, reply.current, now);
+        break;
+    case StoreRequest::Kind::ReadVmList:
+        if (!reply.reachable)
+            break;
+        this->vmListRead = true;
+        this->onVmList(reply.vms, now);
+        break;
+    }
+}
+
+void NodeCore::request(StoreRequest::Kind kind)
+{
+    StoreRequest storeRequest;
+    storeRequest.kind = kind;
+    this->hooks.requestStore(std::move(storeRequest));
+}
+
+void NodeCore::readPlatform(Milliseconds now)
+{
+    if (!this->ownershipRead && this->nextOwnershipRead <= now) {
+        this->nextOwnershipRead = now + firstReadPause;
+        this->request(StoreRequest::Kind::ReadOwnership);
+    }
+    // Only watchers keep reading the list, so that calls do not grow with the fleet.
+    if ((!this->vmListRead || this->watching) && this->nextVmListRead <= now) {
+        this->nextVmListRead = now + (this->vmListRead ? vmListPeriod : firstReadPause);
+        this->request(StoreRequest::Kind::ReadVmList);
+    }
+}
+
+void NodeCore::beginStop(Milliseconds now)
+{
+    this->stopping = true;
+    this->stopBegan = now;
+    this->keyOwner.release(now);
+    this->membership.announceLeaving(now);
+    for (auto const& peer : this->membership.peers()) {
+        if (this->membership.usable(peer.name))
+            this->digestExchange.send(peer.name, now);
+    }
+}
+
+bool NodeCore::finished() const
+{
+    return this->stopping && this->currentTime >= this->stopBegan + leavingGrace && this->coordinator.running() == 0
+        && this->carrier.running() == 0 && this->commandRouter.running() == 0 && this->keyOwner.ownsNothing();
+}
+
+bool NodeCore::ready(Milliseconds now) const { return !this->stopping && this->configurationState.ready(now); }
+
+void NodeCore::advance(Milliseconds now)
+{
+    this->readPlatform(now);
+    this->membership.advance(now);
+    this->configurationState.advance(now);
+    this->keyOwner.advance(now, this->hooks.wallClock());
+    this->commandRouter.advance(now);
+    this->carrier.advance(now);
+    this->coordinator.advance(now);
+    std::erase_if(this->indirectProbes, [now](auto const& entry) { return entry.second.sent + 1'000_ms < now; });
+}
+
+Milliseconds NodeCore::nextWakeup() const
+{
+    auto next = std::min({ this->coordinator.nextWakeup(), this->carrier.nextWakeup(), this->keyOwner.nextWakeup(),
+        this->membership.nextWakeup(), this->configurationState.nextWakeup(), this->commandRouter.nextWakeup() });
+    if (!this->ownershipRead)
+        next = std::min(next, this->nextOwnershipRead);
+    if (!this->vmListRead || this->watching)
+        next = std::min(next, this->nextVmListRead);
+    return next;
+}
+
+void NodeCore::settle(Milliseconds now)
+{
+    this->currentTime = std::max(this->currentTime, now);
+    while (!this->deferred.empty()) {
+        auto const call = std::move(this->deferred.front());
+        this->deferred.pop_front();
+        call();
+    }
+    this->partRouter.flush();
+    for (auto const& [peer, results] : std::exchange(this->outgoingResults, {}))
+        this->sendFrame(peer, FrameCodec::encodeResults(results));
+}
+
+static char const* toString(PeerState state)
+{
+    switch (state) {
+    case PeerState::Alive:
+        return "alive";
+    case PeerState::Suspect:
+        return "suspect";
+    case PeerState::Dead:
+        return "dead";
+    case PeerState::Leaving:
+        return "leaving";
+    case PeerState::Unknown:
+        break;
+    }
+    return "unknown";
+}
+
+Json::Value NodeCore::describe(Milliseconds now) const
+{
+    Json::Value view;
+    view["name"] = this->identity.name;
+    view["failureDomain"] = this->identity.failureDomain;
+    view["incarnation"] = static_cast<Json::UInt64>(this->identity.incarnation);
+    view["ready"] = this->ready(now);
+    view["stopping"] = this->stopping;
+    view["watching"] = this->watching;
+    view["configuration"]["version"] = static_cast<Json::UInt64>(this->configurationState.version());
+    if (auto const& configuration = this->configurationState.current())
+        view["configuration"]["changeId"] = configuration->changeId;
+    view["coordinator"] = this->coordinator.describe(now);
+    view["carrier"] = this->carrier.describe(now);
+    view["keyOwner"] = this->keyOwner.describe();
+    view["commandsPending"] = static_cast<Json::UInt64>(this->commandRouter.running());
+    for (auto const& peer : this->membership.peers()) {
+        auto& entry = view["members"][peer.name];
+        entry["address"] = peer.address;
+        entry["state"] = toString(peer.state);
+        entry["incarnation"] = static_cast<Json::UInt64>(peer.incarnation);
+    }
+    view["frames"]["invalid"] = static_cast<Json::UInt64>(this->invalidFrames);
+    view["frames"]["unknown"] = static_cast<Json::UInt64>(this->unknownFrames);
+    view["frames"]["lateResults"] = static_cast<Json::UInt64>(this->partRouter.lateResults());
+    return view;
+}
+
+} // namespace Toucan
--- /dev/null
+++ b/Libraries/Engine/NodeCore.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include "Engine/BurnTracker.h"
+#include "Engine/CommandRouter.h"
+#include "Engine/DigestExchange.h"
+#include "Engine/NodeEngine.h"
+#include "Engine/PartRouter.h"
+
+#include <deque>
+
+namespace Toucan {
+
+/// The parts of NodeEngine and what connects them; NodeEngine settles each event after it was handled here.
+class NodeCore {
+public:
+    NodeCore(NodeEngine::Hooks engineHooks, NodeEngine::Identity nodeIdentity, std::vector<Peer> const& seeds,
+        Milliseconds now);
+
+    void onCallerRequest(CallerRequest&& request, Milliseconds now);
+    void onFrame(Json::Value const& frame, Milliseconds now);
+    void onStoreReply(StoreReply&& reply, Milliseconds now);
+    void losePeer(std::string const& peer, Milliseconds now);
+    void beginStop(Milliseconds now);
+    bool finished() const;
+    bool ready(Milliseconds now) const;
+    void advance(Milliseconds now);
+    Milliseconds nextWakeup() const;
+    Json::Value describe(Milliseconds now) const;
+    /// Runs what hooks put off until the caller's event was handled, and sends the collected frames.
+    void settle(Milliseconds now);
+
+    NodeEngine::Hooks hooks;
+    NodeEngine::Identity identity;
+    Milliseconds currentTime;
+    bool stopping { false };
+    Milliseconds stopBegan;
+    /// A hook must not call back into the component that calls it; the call waits here.
+    std::deque<std::function<void()>> deferred;
+    Coordinator coordinator;
+    Carrier carrier;
+    KeyOwner keyOwner;
+    Membership membership;
+    ConfigurationState configurationState;
+    PartRouter partRouter;
+    CommandRouter commandRouter;
+    DigestExchange digestExchange;
+    BurnTracker burnTracker;
+
+private:
+    struct IndirectProbe {
+        std::string requester;
+        std::string subject;
+        uint64_t number { 0 };
+        Milliseconds sent;
+    };
+
+    Coordinator::Hooks coordinatorHooks();
+    Carrier::Hooks carrierHooks();
+    KeyOwner::Hooks keyOwnerHooks();
+    Membership::Hooks membershipHooks();
+    ConfigurationState::Hooks configurationHooks();
+    PartRouter::Hooks partRouterHooks();
+    CommandRouter::Hooks commandRouterHooks();
+    DigestExchange::Hooks digestHooks();
+
+    void sendFrame(std::string const& peer, Json::Value&& frame);
+    void deliverResult(std::string const& sender, PartResult&& result);
+    void submitParts(std::string const& sender, std::vector<PartRequest>&& parts, Milliseconds now);
+    void refuse(std::string const& sender, PartRequest const& part, PartStatus status);
+    void replyVerdict(std::string const& sender, CommandVerdict&& verdict);
+    void install(ConfigurationPointer const& configuration);
+    void answer(CallerAnswer&& answer);
+    void rejectRequest(CallerRequest const& request, int status, Problem&& problem);
+    std::string likelyOwner(std::string_view key) const;
+    void onProbe(std::string const& from, Json::Value const& frame, Milliseconds now);
+    void onProbed(std::string const& from, Json::Value const& frame, Milliseconds now);
+    void dispatchFrame(std::string const& kind, std::string const& from, Json::Value const& frame, Milliseconds now);
+    void onVmList(std::vector<VmEntry> const& vms, Milliseconds now);
+    void noteLeavingTarget(std::string const& target);
+    Peer selfAsPeer() const;
+    void readPlatform(Milliseconds now);
+    void request(StoreRequest::Kind kind);
+
+    bool watching { false };
+    bool ownershipRead { false };
+    bool vmListRead { false };
+    Milliseconds nextOwnershipRead;
+    Milliseconds nextVmListRead;
+    /// Results for peers, sent as one group at the end of an event.
+    std::map<std::string, std::vector<PartResult>> outgoingResults;
+    std::map<uint64_t, IndirectProbe> indirectProbes;
+    uint64_t lastIndirectProbe { 0 };
+    uint64_t invalidFrames { 0 };
+    uint64_t unknownFrames { 0 };
+};
+
+} // namespace Toucan
--- a/Libraries/Engine/NodeEngine.cpp
+++ b/Libraries/Engine/NodeEngine.cpp
@@ -1,740 +1,11 @@
 #include "Engine/NodeEngine.h"
 
-#include "Base/Error.h"
-#include "Engine/BurnTracker.h"
-#include "Engine/CommandRouter.h"
-#include "Engine/DigestExchange.h"
-#include "Engine/FrameCodec.h"
-#include "Engine/PartRouter.h"
-
-#include <algorithm>
-#include <deque>
-#include <limits>
-#include <set>
+#include "Engine/NodeCore.h"
 
 namespace Toucan {
 
-/// Pause between reads of the ownership table and the VM list until the first success.
-static constexpr auto firstReadPause = 500_ms;
-static constexpr auto vmListPeriod = 2'000_ms;
-/// Time after the announcement of leaving in which peers may still send parts.
-static constexpr auto leavingGrace = 1'000_ms;
-
-class NodeEngine::Implementation {
-public:
-    Implementation(Hooks engineHooks, Identity nodeIdentity, std::vector<Peer> const& seeds, Milliseconds now);
-
-    void onCallerRequest(CallerRequest&& request, Milliseconds now);
-    void onFrame(Json::Value const& frame, Milliseconds now);
-    void onStoreReply(StoreReply&& reply, Milliseconds now);
-    void losePeer(std::string const& peer, Milliseconds now);
-    void beginStop(Milliseconds now);
-    bool finished() const;
-    bool ready(Milliseconds now) const;
-    void advance(Milliseconds now);
-    Milliseconds nextWakeup() const;
-    Json::Value describe(Milliseconds now) const;
-    /// Runs what hooks put off until the caller's event was handled, and sends the collected frames.
-    void settle(Milliseconds now);
-
-    Hooks hooks;
-    Identity identity;
-    Milliseconds currentTime;
-    bool stopping { false };
-    Milliseconds stopBegan;
-    /// A hook must not call back into the component that calls it; the call waits here.
-    std::deque<std::function<void()>> deferred;
-    Coordinator coordinator;
-    Carrier carrier;
-    KeyOwner keyOwner;
-    Membership membership;
-    ConfigurationState configurationState;
-    PartRouter partRouter;
-    CommandRouter commandRouter;
-    DigestExchange digestExchange;
-    BurnTracker burnTracker;
-
-private:
-    struct IndirectProbe {
-        std::string requester;
-        std::string subject;
-        uint64_t number { 0 };
-        Milliseconds sent;
-    };
-
-    Coordinator::Hooks coordinatorHooks();
-    Carrier::Hooks carrierHooks();
-    KeyOwner::Hooks keyOwnerHooks();
-    Membership::Hooks membershipHooks();
-    ConfigurationState::Hooks configurationHooks();
-    PartRouter::Hooks partRouterHooks();
-    CommandRouter::Hooks commandRouterHooks();
-    DigestExchange::Hooks digestHooks();
-
-    void sendFrame(std::string const& peer, Json::Value&& frame);
-    void deliverResult(std::string const& sender, PartResult&& result);
-    void submitParts(std::string const& sender, std::vector<PartRequest>&& parts, Milliseconds now);
-    void refuse(std::string const& sender, PartRequest const& part, PartStatus status);
-    void replyVerdict(std::string const& sender, CommandVerdict&& verdict);
-    void install(ConfigurationPointer const& configuration);
-    void answer(CallerAnswer&& answer);
-    void rejectRequest(CallerRequest const& request, int status, Problem&& problem);
-    std::string likelyOwner(std::string_view key) const;
-    void onProbe(std::string const& from, Json::Value const& frame, Milliseconds now);
-    void onProbed(std::string const& from, Json::Value const& frame, Milliseconds now);
-    void dispatchFrame(std::string const& kind, std::string const& from, Json::Value const& frame, Milliseconds now);
-    void onVmList(std::vector<VmEntry> const& vms, Milliseconds now);
-    void noteLeavingTarget(std::string const& target);
-    Peer selfAsPeer() const;
-    void readPlatform(Milliseconds now);
-    void request(StoreRequest::Kind kind);
-
-    bool watching { false };
-    bool ownershipRead { false };
-    bool vmListRead { false };
-    Milliseconds nextOwnershipRead;
-    Milliseconds nextVmListRead;
-    /// Results for peers, sent as one group at the end of an event.
-    std::map<std::string, std::vector<PartResult>> outgoingResults;
-    std::map<uint64_t, IndirectProbe> indirectProbes;
-    uint64_t lastIndirectProbe { 0 };
-    uint64_t invalidFrames { 0 };
-    uint64_t unknownFrames { 0 };
-};
-
-static std::string attemptPrefixOf(NodeEngine::Identity const& identity)
-{
-    return identity.name + '/' + std::to_string(identity.incarnation);
-}
-
-static Peer peerOf(NodeEngine::Identity const& identity)
-{
-    return { identity.name, identity.peerAddress, identity.failureDomain, identity.incarnation, PeerState::Alive };
-}
-
-NodeEngine::Implementation::Implementation(
-    Hooks engineHooks, Identity nodeIdentity, std::vector<Peer> const& seeds, Milliseconds now)
-    : hooks(std::move(engineHooks))
-    , identity(std::move(nodeIdentity))
-    , currentTime(now)
-    , coordinator(this->coordinatorHooks(), attemptPrefixOf(this->identity))
-    , carrier(this->carrierHooks(), this->identity.name)
-    , keyOwner(this->keyOwnerHooks(), this->identity.name, this->identity.incarnation)
-    , membership(this->membershipHooks(), peerOf(this->identity))
-    , configurationState(this->configurationHooks(), this->identity.name)
-    , partRouter(this->partRouterHooks(), this->identity.name)
-    , commandRouter(this->commandRouterHooks(), this->identity.name)
-    , digestExchange(this->digestHooks())
-{
-    this->membership.seed(seeds, now);
-}
-
-Coordinator::Hooks NodeEngine::Implementation::coordinatorHooks()
-{
-    Coordinator::Hooks result;
-    result.sendPart = [this](PartRequest const& part) { this->partRouter.send(part); };
-    result.cancelPart = [this](AttemptId const& attempt, std::string const&) { this->partRouter.cancel(attempt); };
-    result.answer = [this](CallerAnswer&& callerAnswer) { this->answer(std::move(callerAnswer)); };
-    result.commandFinished = [this](CommandVerdict&& verdict) {
-        this->deferred.emplace_back([this, verdict = std::move(verdict)]() mutable {
-            this->keyOwner.onCommandFinished(std::move(verdict), this->currentTime);
-        });
-    };
-    result.random = this->hooks.random;
-    return result;
-}
-
-Carrier::Hooks NodeEngine::Implementation::carrierHooks()
-{
-    Carrier::Hooks result;
-    result.send = this->hooks.callTarget;
-    result.cancel = this->hooks.cancelTargetCall;
-    result.result
-        = [this](std::string const& sender, PartResult&& part) { this->deliverResult(sender, std::move(part)); };
-    result.pollStatus = this->hooks.pollTarget;
-    result.random = this->hooks.random;
-    return result;
-}
-
-KeyOwner::Hooks NodeEngine::Implementation::keyOwnerHooks()
-{
-    KeyOwner::Hooks result;
-    result.write = [this](OwnershipRecord const& next, uint64_t expectedRevision) {
-        StoreRequest storeRequest;
-        storeRequest.kind = StoreRequest::Kind::WriteOwnership;
-        storeRequest.record = next;
-        storeRequest.expectedRevision = expectedRevision;
-        this->hooks.requestStore(std::move(storeRequest));
-    };
-    result.run = [this](CommandRequest const& command) {
-        this->deferred.emplace_back([this, command] { this->coordinator.startCommand(command, this->currentTime); });
-    };
-    result.reply = [this](std::string const& sender, CommandVerdict&& verdict) {
-        this->deferred.emplace_back(
-            [this, sender, verdict = std::move(verdict)]() mutable { this->replyVerdict(sender, std::move(verdict)); });
-    };
-    result.isAlive
-        = [this](std::string const& node) { return node == this->identity.name || this->membership.usable(node); };
-    return result;
-}
-
-Membership::Hooks NodeEngine::Implementation::membershipHooks()
-{
-    Membership::Hooks result;
-    result.sendProbe = [this](std::string const& peer, std::string const& via, uint64_t number) {
-        Json::Value frame;
-        frame["kind"] = "probe";
-        frame["number"] = static_cast<Json::UInt64>(number);
-        if (!via.empty())
-            frame["subject"] = peer;
-        this->sendFrame(via.empty() ? peer : via, std::move(frame));
-    };
-    result.stateChanged = [this](Peer const& peer) {
-        this->deferred.emplace_back([this, peer] {
-            if (peer.state == PeerState::Dead) {
-                this->partRouter.onPeerLost(peer.name);
-                this->commandRouter.onPeerLost(peer.name, this->currentTime);
-                this->carrier.forgetSender(peer.name, this->currentTime);
-            }
-            this->configurationState.onMembershipChanged(this->currentTime);
-        });
-    };
-    result.random = this->hooks.random;
-    return result;
-}
-
-ConfigurationState::Hooks NodeEngine::Implementation::configurationHooks()
-{
-    ConfigurationState::Hooks result;
-    result.installed = [this](ConfigurationPointer const& configuration) { this->install(configuration); };
-    result.pushDigest = [this](size_t count) {
-        for (auto const& peer : this->membership.randomPeers(count))
-            this->digestExchange.send(peer, this->currentTime);
-    };
-    result.sendDigest = [this](std::string const& peer) { this->digestExchange.send(peer, this->currentTime); };
-    result.fetch = [this](std::string const& peer, std::vector<std::string> const& knownHashes) {
-        Json::Value frame;
-        frame["kind"] = "fetch";
-        frame["known"] = Json::Value(Json::arrayValue);
-        for (auto const& hash : knownHashes)
-            frame["known"].append(hash);
-        this->sendFrame(peer, std::move(frame));
-    };
-    result.readStore = [this](std::vector<std::string> const& knownHashes) {
-        StoreRequest storeRequest;
-        storeRequest.kind = StoreRequest::Kind::ReadConfiguration;
-        storeRequest.knownHashes = knownHashes;
-        this->hooks.requestStore(std::move(storeRequest));
-    };
-    result.setWatching = [this](bool on) {
-        this->watching = on;
-        this->hooks.setWatching(on);
-    };
-    result.isAlive
-        = [this](std::string const& node) { return node == this->identity.name || this->membership.usable(node); };
-    return result;
-}
-
-PartRouter::Hooks NodeEngine::Implementation::partRouterHooks()
-{
-    PartRouter::Hooks result;
-    result.sendParts = [this](std::string const& peer, std::vector<PartRequest> const& parts) {
-        this->sendFrame(peer, FrameCodec::encodeParts(parts));
-    };
-    result.sendCancels = [this](std::string const& peer, std::vector<AttemptId> const& attempts) {
-        Json::Value frame;
-        frame["kind"] = "cancel";
-        for (auto const& attempt : attempts)
-            frame["attempts"].append(attempt);
-        this->sendFrame(peer, std::move(frame));
-    };
-    result.submitLocally = [this](PartRequest&& part) {
-        this->deferred.emplace_back([this, part = std::move(part)]() mutable {
-            std::vector<PartRequest> parts;
-            parts.push_back(std::move(part));
-            this->submitParts(this->identity.name, std::move(parts), this->currentTime);
-        });
-    };
-    result.cancelLocally = [this](AttemptId const& attempt) {
-        this->deferred.emplace_back([this, attempt] { this->carrier.cancel(attempt, this->currentTime); });
-    };
-    result.result = [this](PartResult&& part) {
-        this->deferred.emplace_back([this, part = std::move(part)]() mutable {
-            this->coordinator.onPartResult(std::move(part), this->currentTime);
-        });
-    };
-    result.isUsable = [this](std::string const& node) { return this->membership.usable(node); };
-    return result;
-}
-
-CommandRouter::Hooks NodeEngine::Implementation::commandRouterHooks()
-{
-    CommandRouter::Hooks result;
-    result.forward = [this](std::string const& peer, std::string const& correlation, CommandRequest const& command) {
-        auto frame = FrameCodec::encodeCommand(command);
-        frame["correlation"] = correlation;
-        this->sendFrame(peer, std::move(frame));
-    };
-    result.submitLocally = [this](std::string const& correlation, CommandRequest&& command) {
-        this->deferred.emplace_back([this, correlation, command = std::move(command)]() mutable {
-            this->keyOwner.submit(this->identity.name + '|' + correlation, std::move(command), this->currentTime);
-        });
-    };
-    result.answer = [this](CallerAnswer&& callerAnswer) { this->answer(std::move(callerAnswer)); };
-    result.likelyOwner = [this](std::string_view key) { return this->likelyOwner(key); };
-    result.isUsable = [this](std::string const& node) { return this->membership.usable(node); };
-    return result;
-}
-
-DigestExchange::Hooks NodeEngine::Implementation::digestHooks()
-{
-    DigestExchange::Hooks result;
-    result.self = [this] { return this->selfAsPeer(); };
-    result.configurationVersion = [this] { return this->configurationState.version(); };
-    result.memberEntries = [this](size_t limit) { return this->membership.digestEntries(limit); };
-    result.ownership = [this]() -> std::map<uint32_t, OwnershipRecord> const& { return this->keyOwner.records(); };
-    result.rumor = [this](Peer const& peer) {
-        if (peer.name != this->identity.name)
-            this->membership.onRumor(peer, this->currentTime);
-    };
-    result.peerVersion = [this](std::string const& peer, uint64_t version) {
-        this->configurationState.onPeerVersion(peer, version, this->currentTime);
-    };
-    result.record = [this](OwnershipRecord const& record) { this->keyOwner.onRecord(record, this->currentTime); };
-    result.targetLeaving = [this](std::string const& target) { this->noteLeavingTarget(target); };
-    result.send = [this](std::string const& peer, Json::Value&& frame) { this->sendFrame(peer, std::move(frame)); };
-    return result;
-}
-
-Peer NodeEngine::Implementation::selfAsPeer() const
-{
-    auto self = peerOf(this->identity);
-    if (this->stopping)
-        self.state = PeerState::Leaving;
-    return self;
-}
-
-void NodeEngine::Implementation::sendFrame(std::string const& peer, Json::Value&& frame)
-{
-    auto const* known = this->membership.find(peer);
-    if (!known || known->address.empty())
-        return;
-    frame["from"] = this->identity.name;
-    // The receiver learns a new address and incarnation from any frame, not only from digests.
-    if (!frame.isMember("self"))
-        frame["self"] = FrameCodec::encodePeer(this->selfAsPeer());
-    this->hooks.sendFrame(peer, known->address, std::move(frame));
-}
-
-void NodeEngine::Implementation::install(ConfigurationPointer const& configuration)
-{
-    this->partRouter.setConfiguration(configuration);
-    this->carrier.setConfiguration(configuration, this->currentTime);
-    this->coordinator.setConfiguration(configuration, this->currentTime);
-    this->keyOwner.setConfiguration(configuration, this->currentTime);
-}
-
-std::string NodeEngine::Implementation::likelyOwner(std::string_view key) const
-{
-    if (auto owner = this->keyOwner.ownerOf(key); !owner.empty())
-        return owner;
-    auto const& configuration = this->configurationState.current();
-    if (!configuration)
-        return {};
-    auto const& records = this->keyOwner.records();
-    auto const found = records.find(keyRange(key, configuration->fleet.keyRanges));
-    return found == records.end() ? std::string() : found->second.owner;
-}
-
-void NodeEngine::Implementation::answer(CallerAnswer&& callerAnswer)
-{
-    if (auto const& configuration = this->configurationState.current()) {
-        if (auto const* service = configuration->service(callerAnswer.service)) {
-            auto const& objective = configuration->ruleOf(*service).objective;
-            auto const good = callerAnswer.status == 200 && callerAnswer.coverage.whole()
-                && callerAnswer.total <= objective.latency;
-            // A caller's own mistakes do not count against the service.
-            if (callerAnswer.status != 400 && callerAnswer.status != 409)
-                this->burnTracker.record(callerAnswer.service, good, this->currentTime);
-        }
-    }
-    this->hooks.answerCaller(std::move(callerAnswer));
-}
-
-void NodeEngine::Implementation::rejectRequest(CallerRequest const& request, int status, Problem&& problem)
-{
-    CallerAnswer rejection;
-    rejection.handle = request.handle;
-    rejection.requestId = request.requestId;
-    rejection.service = request.service;
-    rejection.status = status;
-    rejection.outcome = request.idempotence == Idempotence::Idempotent || status == 400 || status == 404
-        ? Outcome::NotRun
-        : Outcome::Unknown;
-    rejection.problem = std::move(problem);
-    this->answer(std::move(rejection));
-}
-
-void NodeEngine::Implementation::onCallerRequest(CallerRequest&& request, Milliseconds now)
-{
-    auto const& configuration = this->configurationState.current();
-    if (!configuration) {
-        this->rejectRequest(request, 503,
-            { "not-ready", "No configuration yet", "This node has not received a configuration",
-                "Send the request to another node, or try again in a second" });
-        return;
-    }
-    if (!configuration->service(request.service)) {
-        this->rejectRequest(request, 404,
-            { "unknown-service", "Unknown service", "No service is named \"" + request.service + '"',
-                "Check the service name against the output of tgctl view" });
-        return;
-    }
-    if (request.idempotence == Idempotence::Idempotent) {
-        this->coordinator.startQuery(std::move(request), now);
-        return;
-    }
-    if (!requestKeyTime(request.requestKey)) {
-        this->rejectRequest(request, 400,
-            { "invalid-request-key", "Invalid request key", "Toucan-Request-Key is not a UUIDv7 (RFC 9562)",
-                "Make one UUIDv7 for each logical request and repeat it on retries" });
-        return;
-    }
-    this->commandRouter.start(std::move(request), *configuration, now);
-}
-
-void NodeEngine::Implementation::refuse(std::string const& sender, PartRequest const& part, PartStatus status)
-{
-    PartResult result;
-    result.attempt = part.attempt;
-    result.target = part.target;
-    result.status = status;
-    result.requestId = part.requestId;
-    result.snapshot = part.snapshot;
-    result.shard = part.shard;
-    this->deliverResult(sender, std::move(result));
-}
-
-void NodeEngine::Implementation::submitParts(
-    std::string const& sender, std::vector<PartRequest>&& parts, Milliseconds now)
-{
-    for (auto& part : parts) {
-        // Only candidates dial a target; a sender with another configuration must not make this node exceed the
-        // target's connection limit.
-        if (!this->partRouter.carries(part.service, part.target))
-            this->refuse(sender, part, PartStatus::NoCarrier);
-        else
-            this->carrier.submit(sender, std::move(part), now);
-    }
-}
-
-void NodeEngine::Implementation::deliverResult(std::string const& sender, PartResult&& result)
-{
-    if (sender != this->identity.name) {
-        this->outgoingResults[sender].push_back(std::move(result));
-        return;
-    }
-    this->deferred.emplace_back([this, result = std::move(result)]() mutable {
-        this->coordinator.onPartResult(std::move(result), this->currentTime);
-    });
-}
-
-void NodeEngine::Implementation::replyVerdict(std::string const& sender, CommandVerdict&& verdict)
-{
-    auto const separator = sender.rfind('|');
-    auto const node = sender.substr(0, separator);
-    auto const correlation = sender.substr(separator + 1);
-    if (node == this->identity.name) {
-        this->commandRouter.onVerdict(correlation, std::move(verdict), this->currentTime);
-        return;
-    }
-    auto frame = FrameCodec::encodeVerdict(verdict);
-    frame["correlation"] = correlation;
-    this->sendFrame(node, std::move(frame));
-}
-
-void NodeEngine::Implementation::onFrame(Json::Value const& frame, Milliseconds now)
-{
-    try {
-        auto const from = frame["from"].asString();
-        if (from.empty() || from == this->identity.name)
-            return;
-        if (frame.isMember("self")) {
-            auto const peer = FrameCodec::decodePeer(frame["self"]);
-            if (peer.name == from)
-                this->membership.onPeerHeard(peer, now);
-        }
-        this->configurationState.onPeerHeard(now);
-        this->dispatchFrame(frame["kind"].asString(), from, frame, now);
-    } catch (Error const&) {
-        ++this->invalidFrames;
-    } catch (Json::Exception const&) {
-        ++this->invalidFrames;
-    }
-}
-
-void NodeEngine::Implementation::dispatchFrame(
-    std::string const& kind, std::string const& from, Json::Value const& frame, Milliseconds now)
-{
-    if (kind == "parts") {
-        this->submitParts(from, FrameCodec::decodeParts(frame), now);
-    } else if (kind == "results") {
-        for (auto& result : FrameCodec::decodeResults(frame))
-            this->partRouter.onPeerResult(from, std::move(result));
-    } else if (kind == "cancel") {
-        for (auto const& attempt : frame["attempts"])
-            this->carrier.cancel(attempt.asString(), now);
-    } else if (kind == "command") {
-        this->keyOwner.submit(from + '|' + frame["correlation"].asString(), FrameCodec::decodeCommand(frame), now);
-    } else if (kind == "commandResult") {
-        this->commandRouter.onVerdict(frame["correlation"].asString(), FrameCodec::decodeVerdict(frame), now);
-    } else if (kind == "digest") {
-        this->digestExchange.receive(from, frame, now);
-    } else if (kind == "fetch") {
-        std::vector<std::string> known;
-        for (auto const& hash : frame["known"])
-            known.push_back(hash.asString());
-        if (this->configurationState.version() > 0)
-            this->sendFrame(from, FrameCodec::encodeUpdate(this->configurationState.answerFetch(known)));
-    } else if (kind == "fetched") {
-        this->configurationState.onUpdate(FrameCodec::decodeUpdate(frame), now);
-    } else if (kind == "probe") {
-        this->onProbe(from, frame, now);
-    } else if (kind == "probed") {
-        this->onProbed(from, frame, now);
-    } else {
-        ++this->unknownFrames;
-    }
-}
-
-void NodeEngine::Implementation::onProbe(std::string const& from, Json::Value const& frame, Milliseconds now)
-{
-    auto const subject = frame["subject"].asString();
-    if (subject.empty() || subject == this->identity.name) {
-        Json::Value reply;
-        reply["kind"] = "probed";
-        reply["peer"] = this->identity.name;
-        reply["number"] = frame["number"];
-        this->sendFrame(from, std::move(reply));
-        return;
-    }
-    // Numbers of forwarded probes have the highest bit set, which Membership never reaches with its own.
-    auto const number = (uint64_t { 1 } << 63U) | ++this->lastIndirectProbe;
-    this->indirectProbes[number] = { from, subject, frame["number"].asUInt64(), now };
-    Json::Value probe;
-    probe["kind"] = "probe";
-    probe["number"] = static_cast<Json::UInt64>(number);
-    this->sendFrame(subject, std::move(probe));
-}
-
-void NodeEngine::Implementation::onProbed(std::string const& from, Json::Value const& frame, Milliseconds now)
-{
-    auto const number = frame["number"].asUInt64();
-    auto const found = this->indirectProbes.find(number);
-    if (found == this->indirectProbes.end()) {
-        this->membership.onProbeAnswer(frame["peer"].asString(), number, now);
-        return;
-    }
-    auto const probe = found->second;
-    this->indirectProbes.erase(found);
-    if (probe.subject != from)
-        return;
-    Json::Value reply;
-    reply["kind"] = "probed";
-    reply["peer"] = probe.subject;
-    reply["number"] = static_cast<Json::UInt64>(probe.number);
-    this->sendFrame(probe.requester, std::move(reply));
-}
-
-void NodeEngine::Implementation::losePeer(std::string const& peer, Milliseconds now)
-{
-    this->membership.onConnectionBroken(peer, now);
-    this->partRouter.onPeerLost(peer);
-    this->commandRouter.onPeerLost(peer, now);
-    this->outgoingResults.erase(peer);
-    this->carrier.forgetSender(peer, now);
-}
-
-void NodeEngine::Implementation::noteLeavingTarget(std::string const& target)
-{
-    this->carrier.onTargetStatus(target, TargetState::Draining, {}, this->currentTime);
-    this->coordinator.noteTargetState(target, TargetState::Draining, this->currentTime);
-}
-
-void NodeEngine::Implementation::onVmList(std::vector<VmEntry> const& vms, Milliseconds now)
-{
-    auto const& configuration = this->configurationState.current();
-    std::set<std::string> targets;
-    if (configuration) {
-        for (auto const& [name, service] : configuration->services) {
-            for (auto const& [target, definition] : service.targets)
-                targets.insert(target);
-        }
-    }
-    std::vector<VmEntry> nodes;
-    std::vector<std::string> leaving;
-    for (auto const& vm : vms) {
-        if (!targets.contains(vm.name))
-            nodes.push_back(vm);
-        else if (vm.state == VmEntry::State::Leaving)
-            leaving.push_back(vm.name);
-    }
-    std::erase_if(nodes, [this](VmEntry const& vm) { return vm.name == this->identity.name; });
-    this->membership.onVmList(nodes, now);
-    this->digestExchange.setLeavingTargets(leaving, now);
-}
-
-void NodeEngine::Implementation::onStoreReply(StoreReply&& reply, Milliseconds now)
-{
-    switch (reply.kind) {
-    case StoreRequest::Kind::ReadConfiguration:
-        if (reply.update)
-            this->configurationState.onUpdate(std::move(*reply.update), now);
-        this->configurationState.onStoreRead(reply.reachable, now);
-        break;
-    case StoreRequest::Kind::ReadOwnership:
-        this->ownershipRead = this->ownershipRead || reply.reachable;
-        for (auto const& record : reply.records)
-            this->keyOwner.onRecord(record, now);
-        break;
-    case StoreRequest::Kind::WriteOwnership:
-        this->keyOwner.onWriteResult(reply.range, reply.writeResult, reply.current, now);
-        break;
-    case StoreRequest::Kind::ReadVmList:
-        if (!reply.reachable)
-            break;
-        this->vmListRead = true;
-        this->onVmList(reply.vms, now);
-        break;
-    }
-}
-
-void NodeEngine::Implementation::request(StoreRequest::Kind kind)
-{
-    StoreRequest storeRequest;
-    storeRequest.kind = kind;
-    this->hooks.requestStore(std::move(storeRequest));
-}
-
-void NodeEngine::Implementation::readPlatform(Milliseconds now)
-{
-    if (!this->ownershipRead && this->nextOwnershipRead <= now) {
-        this->nextOwnershipRead = now + firstReadPause;
-        this->request(StoreRequest::Kind::ReadOwnership);
-    }
-    // Only watchers keep reading the list, so that calls do not grow with the fleet.
-    if ((!this->vmListRead || this->watching) && this->nextVmListRead <= now) {
-        this->nextVmListRead = now + (this->vmListRead ? vmListPeriod : firstReadPause);
-        this->request(StoreRequest::Kind::ReadVmList);
-    }
-}
-
-void NodeEngine::Implementation::beginStop(Milliseconds now)
-{
-    this->stopping = true;
-    this->stopBegan = now;
-    this->keyOwner.release(now);
-    this->membership.announceLeaving(now);
-    for (auto const& peer : this->membership.peers()) {
-        if (this->membership.usable(peer.name))
-            this->digestExchange.send(peer.name, now);
-    }
-}
-
-bool NodeEngine::Implementation::finished() const
-{
-    return this->stopping && this->currentTime >= this->stopBegan + leavingGrace && this->coordinator.running() == 0
-        && this->carrier.running() == 0 && this->commandRouter.running() == 0 && this->keyOwner.ownsNothing();
-}
-
-bool NodeEngine::Implementation::ready(Milliseconds now) const
-{
-    return !this->stopping && this->configurationState.ready(now);
-}
-
-void NodeEngine::Implementation::advance(Milliseconds now)
-{
-    this->readPlatform(now);
-    this->membership.advance(now);
-    this->configurationState.advance(now);
-    this->keyOwner.advance(now, this->hooks.wallClock());
-    this->commandRouter.advance(now);
-    this->carrier.advance(now);
-    this->coordinator.advance(now);
-    std::erase_if(this->indirectProbes, [now](auto const& entry) { return entry.second.sent + 1'000_ms < now; });
-}
-
-Milliseconds NodeEngine::Implementation::nextWakeup() const
-{
-    auto next = std::min({ this->coordinator.nextWakeup(), this->carrier.nextWakeup(), this->keyOwner.nextWakeup(),
-        this->membership.nextWakeup(), this->configurationState.nextWakeup(), this->commandRouter.nextWakeup() });
-    if (!this->ownershipRead)
-        next = std::min(next, this->nextOwnershipRead);
-    if (!this->vmListRead || this->watching)
-        next = std::min(next, this->nextVmListRead);
-    return next;
-}
-
-void NodeEngine::Implementation::settle(Milliseconds now)
-{
-    this->currentTime = std::max(this->currentTime, now);
-    while (!this->deferred.empty()) {
-        auto const call = std::move(this->deferred.front());
-        this->deferred.pop_front();
-        call();
-    }
-    this->partRouter.flush();
-    for (auto const& [peer, results] : std::exchange(this->outgoingResults, {}))
-        this->sendFrame(peer, FrameCodec::encodeResults(results));
-}
-
-static char const* toString(PeerState state)
-{
-    switch (state) {
-    case PeerState::Alive:
-        return "alive";
-    case PeerState::Suspect:
-        return "suspect";
-    case PeerState::Dead:
-        return "dead";
-    case PeerState::Leaving:
-        return "leaving";
-    case PeerState::Unknown:
-        break;
-    }
-    return "unknown";
-}
-
-Json::Value NodeEngine::Implementation::describe(Milliseconds now) const
-{
-    Json::Value view;
-    view["name"] = this->identity.name;
-    view["failureDomain"] = this->identity.failureDomain;
-    view["incarnation"] = static_cast<Json::UInt64>(this->identity.incarnation);
-    view["ready"] = this->ready(now);
-    view["stopping"] = this->stopping;
-    view["watching"] = this->watching;
-    view["configuration"]["version"] = static_cast<Json::UInt64>(this->configurationState.version());
-    if (auto const& configuration = this->configurationState.current())
-        view["configuration"]["changeId"] = configuration->changeId;
-    view["coordinator"] = this->coordinator.describe(now);
-    view["carrier"] = this->carrier.describe(now);
-    view["keyOwner"] = this->keyOwner.describe();
-    view["commandsPending"] = static_cast<Json::UInt64>(this->commandRouter.running());
-    for (auto const& peer : this->membership.peers()) {
-        auto& entry = view["members"][peer.name];
-        entry["address"] = peer.address;
-        entry["state"] = toString(peer.state);
-        entry["incarnation"] = static_cast<Json::UInt64>(peer.incarnation);
-    }
-    view["frames"]["invalid"] = static_cast<Json::UInt64>(this->invalidFrames);
-    view["frames"]["unknown"] = static_cast<Json::UInt64>(this->unknownFrames);
-    view["frames"]["lateResults"] = static_cast<Json::UInt64>(this->partRouter.lateResults());
-    return view;
-}
-
 NodeEngine::NodeEngine(Hooks hooks, Identity identity, std::vector<Peer> const& seeds, Milliseconds now)
-    : implementation(std::make_unique<Implementation>(std::move(hooks), std::move(identity), seeds, now))
+    : core(std::make_unique<NodeCore>(std::move(hooks), std::move(identity), seeds, now))
 {
 }
 
@@ -742,81 +13,81 @@
 
 void NodeEngine::onCallerRequest(CallerRequest&& request, Milliseconds now)
 {
-    this->implementation->currentTime = now;
-    this->implementation->onCallerRequest(std::move(request), now);
-    this->implementation->settle(now);
+    this->core->currentTime = now;
+    this->core->onCallerRequest(std::move(request), now);
+    this->core->settle(now);
 }
 
 void NodeEngine::onCallerGone(RequestHandle handle, Milliseconds now)
 {
-    this->implementation->currentTime = now;
-    this->implementation->coordinator.abandon(handle, now);
-    this->implementation->commandRouter.abandon(handle);
-    this->implementation->settle(now);
+    this->core->currentTime = now;
+    this->core->coordinator.abandon(handle, now);
+    this->core->commandRouter.abandon(handle);
+    this->core->settle(now);
 }
 
 void NodeEngine::onFrame(Json::Value const& frame, Milliseconds now)
 {
-    this->implementation->currentTime = now;
-    this->implementation->onFrame(frame, now);
-    this->implementation->settle(now);
+    this->core->currentTime = now;
+    this->core->onFrame(frame, now);
+    this->core->settle(now);
 }
 
 void NodeEngine::onPeerBroken(std::string const& peer, Milliseconds now)
 {
-    this->implementation->currentTime = now;
-    this->implementation->losePeer(peer, now);
-    this->implementation->settle(now);
+    this->core->currentTime = now;
+    this->core->losePeer(peer, now);
+    this->core->settle(now);
 }
 
 void NodeEngine::onTargetAnswer(TargetAnswer&& answer, Milliseconds now)
 {
-    this->implementation->currentTime = now;
-    this->implementation->carrier.onTargetAnswer(std::move(answer), now);
-    this->implementation->settle(now);
+    this->core->currentTime = now;
+    this->core->carrier.onTargetAnswer(std::move(answer), now);
+    this->core->settle(now);
 }
 
 void NodeEngine::onTargetStatus(std::string const& target, TargetState state, TargetLoad load, Milliseconds now)
 {
-    this->implementation->currentTime = now;
-    this->implementation->carrier.onTargetStatus(target, state, load, now);
-    this->implementation->settle(now);
+    this->core->currentTime = now;
+    this->core->carrier.onTargetStatus(target, state, load, now);
+    this->core->settle(now);
 }
 
 void NodeEngine::onStoreReply(StoreReply&& reply, Milliseconds now)
 {
-    this->implementation->currentTime = now;
-    this->implementation->onStoreReply(std::move(reply), now);
-    this->implementation->settle(now);
+    this->core->currentTime = now;
+    this->core->onStoreReply(std::move(reply), now);
+    this->core->settle(now);
 }
 
 void NodeEngine::beginStop(Milliseconds now)
 {
-    this->implementation->currentTime = now;
-    this->implementation->beginStop(now);
-    this->implementation->settle(now);
+    this->core->currentTime = now;
+    this->core->beginStop(now);
+    this->core->settle(now);
 }
 
-bool NodeEngine::finished() const { return this->implementation->finished(); }
-bool NodeEngine::ready(Milliseconds now) const { return this->implementation->ready(now); }
+bool NodeEngine::finished() const { return this->core->finished(); }
+bool NodeEngine::ready(Milliseconds now) const { return this->core->ready(now); }
 
 void NodeEngine::advance(Milliseconds now)
 {
-    this->implementation->currentTime = now;
-    this->implementation->advance(now);
-    this->implementation->settle(now);
+    this->core->currentTime = now;
+    this->core->advance(now);
+    this->core->settle(now);
 }
 
-Milliseconds NodeEngine::nextWakeup() const { return this->implementation->nextWakeup(); }
-Json::Value NodeEngine::describe(Milliseconds now) const { return this->implementation->describe(now); }
+Milliseconds NodeEngine::nextWakeup() const { return this->core->nextWakeup(); }
+Json::Value NodeEngine::describe(Milliseconds now) const { return this->core->describe(now); }
 
 Json::Value NodeEngine::describeBurn(Milliseconds now) const
 {
     Json::Value burn;
-    burn["node"] = this->implementation->identity.name;
+    burn["node"] = this->core->identity.name;
     burn["services"] = Json::Value(Json::objectValue);
-    if (auto const& configuration = this->implementation->configurationState.current())
-        burn["services"] = this->implementation->burnTracker.describe(*configuration, now);
+    if (auto const& configuration = this->core->configurationState.current())
+        burn["services"] = this->core->burnTracker.describe(*configuration, now);
     return burn;
 }
 
--- a/Libraries/Engine/NodeEngine.h
+++ b/Libraries/Engine/NodeEngine.h
@@ -47,6 +47,8 @@
     std::vector<VmEntry> vms;
 };
 
+class NodeCore;
+
 /// All decisions of one entry node: connects coordinator, carrier, key owner, membership and configuration state with
 /// each other and with the hooks. Has no I/O; used by the engine thread alone.
 class NodeEngine {
@@ -98,8 +100,7 @@
     Json::Value describeBurn(Milliseconds now) const;
 
 private:
-    class Implementation;
-    std::unique_ptr<Implementation> implementation;
+    std::unique_ptr<NodeCore> core;
 };
 
 } // namespace Toucan
