Add the operators' commands as a library

Operators need to change and inspect the configuration without overwriting each other and without being misled by lost answers.

ConfigurationWriter writes parts under their hashes, then root and history in one transaction on the root's mod_revision. When an answer is lost it reads root and history back by change id and sends the same transaction again only while the root is still the one it compares with, so a change takes effect at most once. OperatorCommands holds check, diff, apply, history, status, burn, drain and view over a narrow store interface; JsonRpcClient calls a node's admin port. The headers of libjsonrpccpp 0.7 do not compile as C++17 or later (dynamic exception specifications), so files named JsonRpc*.cpp are built as C++14. Operator links Poco::Net, which it uses directly.

--- /dev/null
+++ b/Libraries/Operator/FolderReader.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "Configuration/FolderMerge.h"
+
+#include <string>
+#include <vector>
+
+namespace Toucan {
+
+/// Reads the files of a folder whose names end in ".json"; other files and subfolders are left out. Throws Error of
+/// kind NotFound when the folder or a file cannot be read.
+std::vector<NamedText> readFolder(std::string const& path);
+
+} // namespace Toucan
