--- a/Tests/Operator/TestJsonRpcClient.cpp
+++ b/Tests/Operator/TestJsonRpcClient.cpp
@@ -18,7 +18,7 @@
 
 namespace {
 
-constexpr double testTimeoutMs = 2000;
+constexpr double testTimeoutMs = 10'000;
 
 /// Answers every request with the text that a function makes of its method, path and body.
 class Handler : public Poco::Net::HTTPRequestHandler {
