--- a/Libraries/Base/Clock.h
+++ b/Libraries/Base/Clock.h
@@ -11,7 +11,8 @@
 struct Milliseconds {
     double value { 0 };
 
-    constexpr auto operator<=>(Milliseconds const&) const = default;
+    constexpr bool operator==(Milliseconds const&) const = default;
+    constexpr std::partial_ordering operator<=>(Milliseconds other) const { return this->value <=> other.value; }
     constexpr Milliseconds operator+(Milliseconds other) const { return { this->value + other.value }; }
     constexpr Milliseconds operator-(Milliseconds other) const { return { this->value - other.value }; }
     constexpr Milliseconds operator*(double factor) const { return { this->value * factor }; }
--- /dev/null
+++ b/Libraries/Engine/CarriedTarget.cpp
@@ -0,0 +1,317 @@
+#include "Engine/CarriedTarget.h"
+
+#include "Engine/AnswerReader.h"
+
+#include <algorithm>
+
+namespace Toucan {
+
+static constexpr double smoothing = 0.1;
+/// The network layer ends a call at its deadline; a call without an end after this time frees its slot.
+static constexpr Milliseconds overdueGrace { 250 };
+static constexpr Milliseconds defaultBackOff { 10 };
+static constexpr Milliseconds longestBackOff { 5000 };
+static constexpr double backOffJitter = 0.5;
+
+CarriedTarget::CarriedTarget(CarrierContext& context, std::string name)
+    : context(context)
+    , name(std::move(name))
+{
+}
+
+void CarriedTarget::configure(
+    TargetDefinition const& next, Rule const& nextRule, uint32_t share, uint32_t lowest, Milliseconds now)
+{
+    this->definition = next;
+    this->rule = nextRule;
+    this->connectionShare = share;
+    this->retired = false;
+    this->slotLimit.setSlots(next.slots);
+    if (lowest != this->lowestClass) {
+        this->lowestClass = lowest;
+        this->lowestClassCalls = static_cast<uint32_t>(std::ranges::count_if(
+            this->calls, [lowest](auto const& call) { return call.second.part.request.classIndex >= lowest; }));
+    }
+    this->returnQueueOfLeaving(now);
+    this->sendReady(now);
+}
+
+void CarriedTarget::retire(Milliseconds now)
+{
+    this->retired = true;
+    for (auto const& part : this->queue.takeIf([](auto const&) { return true; })) {
+        this->clearTimer(part.request.attempt, part.deadline);
+        this->giveBack(part, PartStatus::NoCarrier, now);
+    }
+}
+
+bool CarriedTarget::isLeaving() const
+{
+    return this->definition.intent == TargetIntent::Draining || this->state.get() == TargetState::Draining;
+}
+
+uint32_t CarriedTarget::slots() const
+{
+    return std::max(1U, std::min(this->slotLimit.current(this->state.get()), this->connectionShare));
+}
+
+Milliseconds CarriedTarget::expectedWait(uint32_t classIndex, Milliseconds now) const
+{
+    auto const ahead = static_cast<double>(this->queue.sizeAhead(classIndex));
+    auto const pause = std::max(Milliseconds {}, this->backOff - now);
+    return pause + this->smoothedService * (ahead / this->slots());
+}
+
+void CarriedTarget::submit(CarriedPart&& part, Milliseconds now)
+{
+    if (this->retired)
+        return this->giveBack(part, PartStatus::NoCarrier, now);
+    if (this->isLeaving())
+        return this->giveBack(part, PartStatus::Shed, now);
+    if (part.deadline <= now)
+        return this->giveBack(part, PartStatus::ExpiredInQueue, now);
+    if (this->rule.limits == Feature::On) {
+        auto const classIndex = part.request.classIndex;
+        if (now + this->expectedWait(classIndex, now) > part.deadline)
+            return this->giveBack(part, PartStatus::Refused, now);
+        auto const startsAtOnce = this->queue.empty() && this->mayStart(classIndex, now);
+        if (!startsAtOnce && this->queue.size() >= this->rule.queueLimit) {
+            auto const dropped = this->queue.popLowerThan(classIndex);
+            if (!dropped)
+                return this->giveBack(part, PartStatus::Refused, now);
+            this->giveBack(*dropped, PartStatus::Refused, now);
+        }
+    }
+    this->setTimer(part.request.attempt, part.deadline);
+    this->queue.push(std::move(part));
+    this->sendReady(now);
+}
+
+bool CarriedTarget::mayStart(uint32_t classIndex, Milliseconds now) const
+{
+    if (this->rule.limits == Feature::Off)
+        return true;
+    auto const limit = this->slots();
+    if (now < this->backOff || this->calls.size() >= limit)
+        return false;
+    auto const keepsOneFree = limit > 1 && this->lowestClass > 0 && classIndex >= this->lowestClass;
+    return !keepsOneFree || this->lowestClassCalls < limit - 1;
+}
+
+void CarriedTarget::sendReady(Milliseconds now)
+{
+    if (this->retired || this->isLeaving())
+        return;
+    for (auto next = this->queue.firstClass(); next && this->mayStart(*next, now); next = this->queue.firstClass()) {
+        auto part = *this->queue.pop();
+        this->clearTimer(part.request.attempt, part.deadline);
+        if (part.deadline <= now)
+            this->giveBack(part, PartStatus::ExpiredInQueue, now);
+        else
+            this->send(std::move(part), now);
+    }
+}
+
+void CarriedTarget::send(CarriedPart&& part, Milliseconds now)
+{
+    ++this->context.counters.sent;
+    TargetCall call { part.request, this->definition.address, this->connectionShare };
+    call.part.remaining = part.deadline - now;
+    this->lowestClassCalls += part.request.classIndex >= this->lowestClass ? 1 : 0;
+    this->setTimer(part.request.attempt, part.deadline + overdueGrace);
+    auto const attempt = part.request.attempt;
+    this->calls.emplace(attempt, Call { std::move(part), now, false });
+    this->context.outbox.post([&hooks = this->context.hooks, call = std::move(call)] { hooks.send(call); });
+}
+
+std::optional<CarriedTarget::Call> CarriedTarget::endCall(AttemptId const& attempt)
+{
+    auto const found = this->calls.find(attempt);
+    if (found == this->calls.end())
+        return std::nullopt;
+    auto call = std::move(found->second);
+    this->calls.erase(found);
+    this->clearTimer(attempt, call.part.deadline + overdueGrace);
+    this->lowestClassCalls -= call.part.request.classIndex >= this->lowestClass ? 1 : 0;
+    return call;
+}
+
+void CarriedTarget::onAnswer(TargetAnswer&& answer, Milliseconds now)
+{
+    if (answer.transport == TargetAnswer::Transport::Answered) {
+        this->state.set(answer.state, now);
+        this->load = answer.load;
+    }
+    if (auto call = this->endCall(answer.attempt)) {
+        auto result = readTargetAnswer(std::move(answer), call->part.request, this->rule.echoCheck);
+        result.service = now - call->sent;
+        result.queued = call->sent - call->part.arrived;
+        result.state = this->isLeaving() ? TargetState::Draining : this->state.get();
+        result.load = this->load;
+        result.carrierQueue = static_cast<uint32_t>(this->queue.size());
+        this->learn(result, now);
+        if (!call->silent)
+            this->postResult(call->part.sender, std::move(result));
+    } else {
+        ++this->context.counters.lateAnswers;
+    }
+    this->returnQueueOfLeaving(now);
+    this->sendReady(now);
+}
+
+void CarriedTarget::learn(PartResult const& result, Milliseconds now)
+{
+    if (result.status == PartStatus::Complete) {
+        this->slotLimit.onGoodAnswer();
+        if (this->smoothedService == Milliseconds {})
+            this->smoothedService = result.service;
+        else
+            this->smoothedService += (result.service - this->smoothedService) * smoothing;
+        return;
+    }
+    if (result.status != PartStatus::Shed)
+        return;
+    ++this->context.counters.shed;
+    if (result.state == TargetState::Draining)
+        return;
+    this->slotLimit.onShed();
+    auto const base = result.retryAfter > Milliseconds {} ? result.retryAfter : defaultBackOff;
+    auto const jittered = std::min(base, longestBackOff) * (1 + backOffJitter * this->context.hooks.random());
+    this->backOff = std::max(this->backOff, now + jittered);
+    this->backOffWakeup = this->backOff;
+}
+
+void CarriedTarget::onStatus(TargetState next, TargetLoad const& reported, Milliseconds now)
+{
+    this->state.set(next, now);
+    this->load = reported;
+    this->returnQueueOfLeaving(now);
+    this->sendReady(now);
+}
+
+void CarriedTarget::returnQueueOfLeaving(Milliseconds now)
+{
+    if (!this->isLeaving())
+        return;
+    // Nothing of a waiting part was sent, so the entry node may pick another replica, for commands as well.
+    for (auto const& part : this->queue.takeIf([](auto const&) { return true; })) {
+        this->clearTimer(part.request.attempt, part.deadline);
+        this->giveBack(part, PartStatus::Shed, now);
+    }
+}
+
+bool CarriedTarget::holds(AttemptId const& attempt) const
+{
+    return this->calls.contains(attempt) || this->queue.contains(attempt);
+}
+
+bool CarriedTarget::cancel(AttemptId const& attempt, Milliseconds now)
+{
+    if (this->calls.contains(attempt)) {
+        this->context.outbox.post(
+            [&hooks = this->context.hooks, attempt, target = this->name] { hooks.cancel(attempt, target); });
+        return true;
+    }
+    auto const waiting = this->queue.takeIf([&](auto const& part) { return part.request.attempt == attempt; });
+    for (auto const& part : waiting) {
+        this->clearTimer(attempt, part.deadline);
+        this->giveBack(part, PartStatus::Cancelled, now);
+    }
+    return !waiting.empty();
+}
+
+void CarriedTarget::forgetSender(std::string const& sender, Milliseconds now)
+{
+    auto const isAbandoned = [&](CarriedPart const& part) {
+        return part.sender == sender && part.request.idempotence == Idempotence::Idempotent;
+    };
+    for (auto const& part : this->queue.takeIf(isAbandoned))
+        this->clearTimer(part.request.attempt, part.deadline);
+    for (auto& [attempt, call] : this->calls) {
+        if (!isAbandoned(call.part) || call.silent)
+            continue;
+        call.silent = true;
+        this->context.outbox.post(
+            [&hooks = this->context.hooks, attempt = attempt, target = this->name] { hooks.cancel(attempt, target); });
+    }
+    this->sendReady(now);
+}
+
+void CarriedTarget::giveBack(CarriedPart const& part, PartStatus status, Milliseconds now)
+{
+    auto& counters = this->context.counters;
+    counters.refused += status == PartStatus::Refused ? 1 : 0;
+    counters.expired += status == PartStatus::ExpiredInQueue ? 1 : 0;
+    PartResult result;
+    result.attempt = part.request.attempt;
+    result.target = part.request.target;
+    result.status = status;
+    result.requestId = part.request.requestId;
+    result.snapshot = part.request.snapshot;
+    result.shard = part.request.shard;
+    result.queued = now - part.arrived;
+    result.state = this->isLeaving() ? TargetState::Draining : this->state.get();
+    result.load = this->load;
+    result.carrierQueue = static_cast<uint32_t>(this->queue.size());
+    this->postResult(part.sender, std::move(result));
+}
+
+void CarriedTarget::postResult(std::string const& sender, PartResult&& result)
+{
+    this->context.outbox.post([&hooks = this->context.hooks, sender, result = std::move(result)]() mutable {
+        hooks.result(sender, std::move(result));
+    });
+}
+
+void CarriedTarget::onTimer(AttemptId const& attempt, Milliseconds now)
+{
+    if (this->calls.contains(attempt))
+        return this->endOverdueCall(attempt, now);
+    for (auto const& part : this->queue.takeIf([&](auto const& waiting) { return waiting.request.attempt == attempt; }))
+        this->giveBack(part, PartStatus::ExpiredInQueue, now);
+}
+
+void CarriedTarget::endOverdueCall(AttemptId const& attempt, Milliseconds now)
+{
+    auto const call = this->endCall(attempt);
+    ++this->context.counters.overdue;
+    this->context.outbox.post(
+        [&hooks = this->context.hooks, attempt, target = this->name] { hooks.cancel(attempt, target); });
+    if (!call->silent)
+        this->giveBack(call->part, PartStatus::DeadlineExceeded, now);
+}
+
+void CarriedTarget::advance(Milliseconds now)
+{
+    while (!this->timers.empty() && this->timers.begin()->first <= now) {
+        auto const attempt = this->timers.begin()->second;
+        this->timers.erase(this->timers.begin());
+        this->onTimer(attempt, now);
+    }
+    if (now >= this->backOffWakeup)
+        this->backOffWakeup = noWakeup;
+    this->sendReady(now);
+}
+
+Milliseconds CarriedTarget::nextWakeup() const
+{
+    auto const timer = this->timers.empty() ? noWakeup : this->timers.begin()->first;
+    return std::min(timer, this->backOffWakeup);
+}
+
+Json::Value CarriedTarget::describe(Milliseconds now) const
+{
+    Json::Value result(Json::objectValue);
+    result["queued"] = Json::UInt64 { this->queue.size() };
+    result["running"] = Json::UInt64 { this->calls.size() };
+    result["slots"] = this->slots();
+    result["connectionShare"] = this->connectionShare;
+    result["state"] = this->isLeaving()              ? "draining"
+        : this->state.get() == TargetState::Starting ? "starting"
+                                                     : "serving";
+    result["serviceMs"] = this->smoothedService.value;
+    result["backingOff"] = now < this->backOff;
+    return result;
+}
+
+} // namespace Toucan
--- /dev/null
+++ b/Libraries/Engine/Carrier.cpp
@@ -0,0 +1,234 @@
+#include "Engine/Carrier.h"
+
+#include "Engine/CarriedTarget.h"
+#include "Engine/CarrierMap.h"
+#include "Engine/SentCommands.h"
+
+#include <algorithm>
+#include <limits>
+#include <map>
+
+namespace Toucan {
+
+static constexpr Milliseconds pollPeriod { 1000 };
+
+class Carrier::Implementation {
+public:
+    struct Entry {
+        std::unique_ptr<CarriedTarget> target;
+        std::string address;
+        Milliseconds nextPoll;
+    };
+
+    Implementation(Hooks hooks, std::string nodeName)
+        : context { std::move(hooks), {}, {} }
+        , nodeName(std::move(nodeName))
+    {
+    }
+
+    bool carries(FleetDefinition const& fleet, TargetDefinition const& target) const
+    {
+        auto const candidates = carrierCandidates(fleet, target, this->nodeName);
+        return std::ranges::find(candidates, this->nodeName) != candidates.end() && connectionShare(fleet, target) > 0;
+    }
+
+    void setConfiguration(ConfigurationPointer next, Milliseconds now)
+    {
+        this->configuration = std::move(next);
+        std::map<std::string, bool> carried;
+        for (auto const& [serviceName, service] : this->configuration->services) {
+            for (auto const& [name, target] : service.targets) {
+                if (!this->carries(this->configuration->fleet, target))
+                    continue;
+                carried[name] = true;
+                this->configure(service, target, now);
+            }
+        }
+        for (auto& [name, entry] : this->targets) {
+            if (!carried.contains(name))
+                entry.target->retire(now);
+        }
+        this->dropRetired();
+    }
+
+    void configure(ServiceDefinition const& service, TargetDefinition const& target, Milliseconds now)
+    {
+        auto const& rule = this->configuration->ruleOf(service);
+        auto const& classes = this->configuration->classes;
+        auto& entry = this->targets[target.name];
+        if (!entry.target) {
+            entry.target = std::make_unique<CarriedTarget>(this->context, target.name);
+            // Random phases spread the polls of the nodes over the period.
+            entry.nextPoll = now + pollPeriod * this->context.hooks.random();
+        }
+        entry.address = target.address;
+        auto const lowestClass = classes.empty() ? 0 : static_cast<uint32_t>(classes.size() - 1);
+        entry.target->configure(target, rule, connectionShare(this->configuration->fleet, target), lowestClass, now);
+    }
+
+    void dropRetired()
+    {
+        std::erase_if(this->targets,
+            [](auto const& item) { return item.second.target->isRetired() && item.second.target->size() == 0; });
+    }
+
+    void submit(std::string const& sender, PartRequest&& part, Milliseconds now)
+    {
+        ++this->context.counters.submitted;
+        auto const isCommand = part.idempotence == Idempotence::NonIdempotent;
+        if (isCommand && !this->commands.add(part.attempt, now)) {
+            // The first copy of the message gets the result; an answer to this one could contradict it.
+            ++this->context.counters.duplicates;
+            return;
+        }
+        auto const found = this->targets.find(part.target);
+        if (found == this->targets.end()) {
+            this->refuseUncarried(sender, part);
+            return;
+        }
+        if (found->second.target->holds(part.attempt)) {
+            ++this->context.counters.duplicates;
+            return;
+        }
+        auto const deadline = now + part.remaining;
+        found->second.target->submit({ sender, std::move(part), now, deadline }, now);
+    }
+
+    void refuseUncarried(std::string const& sender, PartRequest const& part)
+    {
+        PartResult result;
+        result.attempt = part.attempt;
+        result.target = part.target;
+        result.status = PartStatus::NoCarrier;
+        result.requestId = part.requestId;
+        result.snapshot = part.snapshot;
+        result.shard = part.shard;
+        this->context.outbox.post([this, sender, result = std::move(result)]() mutable {
+            this->context.hooks.result(sender, std::move(result));
+        });
+    }
+
+    void poll(std::string const& name, Entry& entry, Milliseconds now)
+    {
+        if (now < entry.nextPoll || entry.target->isRetired())
+            return;
+        entry.nextPoll = now + pollPeriod;
+        ++this->context.counters.polls;
+        this->context.outbox.post(
+            [this, name, address = entry.address] { this->context.hooks.pollStatus(name, address); });
+    }
+
+    CarriedTarget* find(std::string const& name) const
+    {
+        auto const found = this->targets.find(name);
+        return found == this->targets.end() ? nullptr : found->second.target.get();
+    }
+
+    CarrierContext context;
+    std::string nodeName;
+    ConfigurationPointer configuration;
+    std::map<std::string, Entry> targets;
+    SentCommands commands;
+};
+
+Carrier::Carrier(Hooks hooks, std::string nodeName)
+    : implementation(std::make_unique<Implementation>(std::move(hooks), std::move(nodeName)))
+{
+}
+
+Carrier::~Carrier() = default;
+
+void Carrier::setConfiguration(ConfigurationPointer configuration, Milliseconds now)
+{
+    this->implementation->setConfiguration(std::move(configuration), now);
+    this->implementation->context.outbox.flush();
+}
+
+void Carrier::submit(std::string const& sender, PartRequest&& part, Milliseconds now)
+{
+    this->implementation->submit(sender, std::move(part), now);
+    this->implementation->context.outbox.flush();
+}
+
+void Carrier::cancel(AttemptId const& attempt, Milliseconds now)
+{
+    for (auto& [name, entry] : this->implementation->targets) {
+        if (entry.target->cancel(attempt, now))
+            break;
+    }
+    this->implementation->context.outbox.flush();
+}
+
+void Carrier::onTargetAnswer(TargetAnswer&& answer, Milliseconds now)
+{
+    if (auto* target = this->implementation->find(answer.target))
+        target->onAnswer(std::move(answer), now);
+    else
+        ++this->implementation->context.counters.lateAnswers;
+    this->implementation->context.outbox.flush();
+}
+
+void Carrier::onTargetStatus(std::string const& name, TargetState state, TargetLoad load, Milliseconds now)
+{
+    if (auto* target = this->implementation->find(name))
+        target->onStatus(state, load, now);
+    this->implementation->context.outbox.flush();
+}
+
+void Carrier::forgetSender(std::string const& sender, Milliseconds now)
+{
+    for (auto& [name, entry] : this->implementation->targets)
+        entry.target->forgetSender(sender, now);
+    this->implementation->context.outbox.flush();
+}
+
+void Carrier::advance(Milliseconds now)
+{
+    for (auto& [name, entry] : this->implementation->targets) {
+        entry.target->advance(now);
+        this->implementation->poll(name, entry, now);
+    }
+    this->implementation->dropRetired();
+    this->implementation->context.outbox.flush();
+}
+
+Milliseconds Carrier::nextWakeup() const
+{
+    Milliseconds next { std::numeric_limits<double>::infinity() };
+    for (auto const& [name, entry] : this->implementation->targets) {
+        next = std::min(next, entry.target->nextWakeup());
+        if (!entry.target->isRetired())
+            next = std::min(next, entry.nextPoll);
+    }
+    return next;
+}
+
+size_t Carrier::running() const
+{
+    size_t result = 0;
+    for (auto const& [name, entry] : this->implementation->targets)
+        result += entry.target->size();
+    return result;
+}
+
+Json::Value Carrier::describe(Milliseconds now) const
+{
+    auto const& counts = this->implementation->context.counters;
+    Json::Value result(Json::objectValue);
+    auto& counters = result["counters"];
+    counters["submitted"] = Json::UInt64 { counts.submitted };
+    counters["sent"] = Json::UInt64 { counts.sent };
+    counters["refused"] = Json::UInt64 { counts.refused };
+    counters["expired"] = Json::UInt64 { counts.expired };
+    counters["shed"] = Json::UInt64 { counts.shed };
+    counters["duplicates"] = Json::UInt64 { counts.duplicates };
+    counters["lateAnswers"] = Json::UInt64 { counts.lateAnswers };
+    counters["overdue"] = Json::UInt64 { counts.overdue };
+    counters["polls"] = Json::UInt64 { counts.polls };
+    result["targets"] = Json::Value(Json::objectValue);
+    for (auto const& [name, entry] : this->implementation->targets)
+        result["targets"][name] = entry.target->describe(now);
+    return result;
+}
+
+} // namespace Toucan
--- /dev/null
+++ b/Libraries/Engine/CommandRunner.cpp
@@ -0,0 +1,151 @@
+#include "Engine/CommandRunner.h"
+
+#include "Base/Hash.h"
+
+namespace Toucan {
+
+static constexpr uint32_t mostAttempts = 5;
+static constexpr Milliseconds retryPause { 5 };
+/// A result this long after the deadline still replaces "unknown" by the truth for later duplicates.
+static constexpr Milliseconds resultGrace { 100 };
+
+void CommandRunner::start(CommandRequest const& request, Milliseconds now)
+{
+    ++this->state.counters.commands;
+    auto const number = ++this->state.lastRun;
+    auto& command = this->commands[number];
+    command.number = number;
+    command.request = request;
+    command.configuration = this->state.configuration;
+    command.deadline = now + request.remaining;
+    if (!command.configuration)
+        return this->finish(command, Outcome::NotRun, notReady(), nullptr);
+    command.service = command.configuration->service(request.service);
+    if (!command.service)
+        return this->finish(command, Outcome::NotRun, unknownService(request.service), nullptr);
+    command.rule = &command.configuration->ruleOf(*command.service);
+    if (command.deadline <= now)
+        return this->finish(command, Outcome::NotRun, deadlineExceeded(), nullptr);
+    this->state.statisticsOf(command.service->name).extraLoad.fill(command.rule->extraLoadBudget);
+    this->send(command, now);
+}
+
+void CommandRunner::send(Command& command, Milliseconds now)
+{
+    auto const& service = *command.service;
+    auto const* snapshot = this->state.selector.newestComplete(service, now);
+    if (!snapshot)
+        snapshot = this->state.selector.mostComplete(service, now);
+    if (!snapshot)
+        return this->finish(command, Outcome::NotRun, noUsableReplica(), nullptr);
+    auto const shard = static_cast<uint32_t>(hash64(command.request.record) % snapshot->shards.size());
+    auto const* target = this->state.selector.choose(
+        service, *command.rule, *snapshot, shard, command.tried, this->state.medianLatency(service.name, now), now);
+    if (!target && !command.tried.empty()) {
+        command.tried.clear();
+        return this->scheduleAt(command, now + retryPause);
+    }
+    if (!target)
+        return this->finish(command, Outcome::NotRun, noUsableReplica(), nullptr);
+    command.snapshot = snapshot->id;
+    command.shard = shard;
+
+    PendingAttempt attempt;
+    attempt.run = command.number;
+    attempt.requestId = command.request.requestId;
+    attempt.service = service.name;
+    attempt.target = target->name;
+    attempt.snapshot = snapshot->id;
+    attempt.shard = shard;
+    attempt.idempotence = Idempotence::NonIdempotent;
+    PartRequest part;
+    part.classIndex = command.request.classIndex;
+    part.remaining = command.deadline - now;
+    part.requestKey = command.request.requestKey;
+    part.body = command.request.body;
+    command.live = this->state.send(std::move(attempt), std::move(part), now);
+    command.tried.push_back(target->name);
+    ++(command.attempts++ == 0 ? this->state.counters.firstAttempts : this->state.counters.retries);
+    this->scheduleAt(command, command.deadline + resultGrace);
+}
+
+void CommandRunner::onResult(PendingAttempt const& attempt, PartResult&& result, Milliseconds now)
+{
+    auto const found = this->commands.find(attempt.run);
+    if (found == this->commands.end())
+        return;
+    auto& command = found->second;
+    auto const status = this->state.checkEcho(attempt, result, *command.rule);
+    this->state.observe(attempt, result, status, *command.rule, now);
+    command.live.clear();
+    command.lastStatus = status;
+    command.lastState = result.state;
+    if (status == PartStatus::Complete)
+        return this->finish(command, Outcome::Ran, {}, &result);
+    if (!certainlyNotRun(status))
+        return this->finish(command, Outcome::Unknown, partFailed(status), nullptr);
+    this->replace(command, now);
+}
+
+void CommandRunner::replace(Command& command, Milliseconds now)
+{
+    auto const refuse = [&] { this->finish(command, Outcome::NotRun, partFailed(command.lastStatus), nullptr); };
+    if (now >= command.deadline || command.attempts >= mostAttempts)
+        return refuse();
+    if (isFreeToReplace(command.lastStatus, command.lastState))
+        return this->send(command, now);
+    if (this->state.overloaded(command.service->name, *command.rule, now))
+        return refuse();
+    if (this->state.statisticsOf(command.service->name).extraLoad.tryTake())
+        return this->send(command, now);
+    this->scheduleAt(command, now + retryPause);
+}
+
+void CommandRunner::finish(Command& command, Outcome outcome, Refusal const& refusal, PartResult* result)
+{
+    CommandVerdict verdict;
+    verdict.requestKey = command.request.requestKey;
+    verdict.requestId = command.request.requestId;
+    verdict.outcome = outcome;
+    verdict.snapshot = command.snapshot;
+    verdict.shard = command.shard;
+    if (result) {
+        verdict.hits = std::move(result->hits);
+    } else {
+        verdict.status = refusal.status;
+        verdict.problem = refusal.problem;
+        ++this->state.counters.errors;
+    }
+    this->timers.erase({ command.wakeup, command.number });
+    this->commands.erase(command.number);
+    this->state.outbox.post(
+        [this, verdict = std::move(verdict)]() mutable { this->state.hooks.commandFinished(std::move(verdict)); });
+}
+
+void CommandRunner::onTimer(Command& command, Milliseconds now)
+{
+    if (!command.live.empty()) {
+        this->state.cancel(command.live, now);
+        return this->finish(command, Outcome::Unknown, deadlineExceeded(), nullptr);
+    }
+    if (now >= command.deadline)
+        return this->finish(command, Outcome::NotRun, deadlineExceeded(), nullptr);
+    this->replace(command, now);
+}
+
+void CommandRunner::scheduleAt(Command& command, Milliseconds time)
+{
+    this->timers.erase({ command.wakeup, command.number });
+    command.wakeup = time;
+    this->timers.emplace(time, command.number);
+}
+
+void CommandRunner::advance(Milliseconds now)
+{
+    while (!this->timers.empty() && this->timers.begin()->first <= now)
+        this->onTimer(this->commands.at(this->timers.begin()->second), now);
+}
+
+Milliseconds CommandRunner::nextWakeup() const { return this->timers.empty() ? never : this->timers.begin()->first; }
+
+} // namespace Toucan
--- /dev/null
+++ b/Libraries/Engine/CommandRunner.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "Engine/CoordinatorState.h"
+#include "Engine/Problems.h"
+#include "Engine/Query.h"
+
+#include <set>
+#include <unordered_map>
+#include <utility>
+
+namespace Toucan {
+
+/// Runs non-idempotent commands: one attempt, and another one only after a result that certainly did not run.
+class CommandRunner {
+public:
+    explicit CommandRunner(CoordinatorState& state)
+        : state(state)
+    {
+    }
+
+    void start(CommandRequest const& request, Milliseconds now);
+    void onResult(PendingAttempt const& attempt, PartResult&& result, Milliseconds now);
+    void advance(Milliseconds now);
+    Milliseconds nextWakeup() const;
+    size_t running() const { return this->commands.size(); }
+
+private:
+    struct Command {
+        uint64_t number { 0 };
+        CommandRequest request;
+        ConfigurationPointer configuration;
+        ServiceDefinition const* service { nullptr };
+        Rule const* rule { nullptr };
+        std::string snapshot;
+        uint32_t shard { 0 };
+        Milliseconds deadline;
+        Milliseconds wakeup { never };
+        AttemptId live;
+        std::vector<std::string> tried;
+        uint32_t attempts { 0 };
+        PartStatus lastStatus { PartStatus::NoCarrier };
+        TargetState lastState { TargetState::Serving };
+    };
+
+    /// Sends the next attempt; finishes the command as not run when that is impossible.
+    void send(Command& command, Milliseconds now);
+    void replace(Command& command, Milliseconds now);
+    void finish(Command& command, Outcome outcome, Refusal const& refusal, PartResult* result);
+    void post(CommandVerdict&& verdict);
+    void onTimer(Command& command, Milliseconds now);
+    void scheduleAt(Command& command, Milliseconds time);
+
+    CoordinatorState& state;
+    std::unordered_map<uint64_t, Command> commands;
+    std::set<std::pair<Milliseconds, uint64_t>> timers;
+};
+
+} // namespace Toucan
--- /dev/null
+++ b/Libraries/Engine/CoordinatorState.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "Engine/Coordinator.h"
+#include "Engine/EjectionPolicy.h"
+#include "Engine/EvidenceTable.h"
+#include "Engine/Outbox.h"
+#include "Engine/ReplicaSelector.h"
+#include "Engine/ServiceStatistics.h"
+
+#include <string>
+#include <unordered_map>
+
+namespace Toucan {
+
+/// One part request that was sent and has no result yet.
+struct PendingAttempt {
+    /// Number of the query or command.
+    uint64_t run { 0 };
+    std::string requestId;
+    std::string service;
+    std::string target;
+    std::string snapshot;
+    uint32_t shard { 0 };
+    Milliseconds sent;
+    Idempotence idempotence { Idempotence::Idempotent };
+};
+
+struct CoordinatorCounters {
+    uint64_t queries { 0 };
+    uint64_t commands { 0 };
+    uint64_t firstAttempts { 0 };
+    uint64_t hedges { 0 };
+    uint64_t retries { 0 };
+    uint64_t restarts { 0 };
+    uint64_t lateResults { 0 };
+    uint64_t mismatches { 0 };
+    uint64_t truncated { 0 };
+    uint64_t ejections { 0 };
+    uint64_t partialAnswers { 0 };
+    uint64_t errors { 0 };
+};
+
+/// What the runners of queries and commands share.
+struct CoordinatorState {
+    CoordinatorState(Coordinator::Hooks hooks, std::string attemptPrefix);
+
+    /// Keeps what is known about targets and services that both configurations have.
+    void setConfiguration(ConfigurationPointer next, Milliseconds now);
+    Json::Value describe(Milliseconds now);
+    ServiceStatistics& statisticsOf(std::string const& service) { return this->statistics[service]; }
+    /// Median part latency of the service, or a small default while it is unknown.
+    Milliseconds medianLatency(std::string const& service, Milliseconds now);
+    bool overloaded(std::string const& service, Rule const& rule, Milliseconds now);
+
+    /// Registers an attempt at the target and posts its message. `remaining` is the time left for it.
+    AttemptId send(PendingAttempt&& attempt, PartRequest&& part, Milliseconds now);
+    /// Takes the attempt out of the register and asks its carrier to cancel it.
+    void cancel(AttemptId const& attempt, Milliseconds now);
+    /// Counts a failure of the target of a pending attempt.
+    void addFailure(AttemptId const& attempt, Milliseconds now);
+    /// Status of a result after the comparison of its echoed fields with the attempt.
+    PartStatus checkEcho(PendingAttempt const& attempt, PartResult const& result, Rule const& rule);
+    /// Updates evidence, latencies and the overload brake.
+    void observe(
+        PendingAttempt const& attempt, PartResult const& result, PartStatus status, Rule const& rule, Milliseconds now);
+    void reviewEjection(std::string const& serviceName, std::string const& targetName, Milliseconds now);
+
+    Coordinator::Hooks hooks;
+    std::string attemptPrefix;
+    uint64_t lastAttempt { 0 };
+    uint64_t lastRun { 0 };
+    ConfigurationPointer configuration;
+    Outbox outbox;
+    EvidenceTable evidence;
+    ReplicaSelector selector;
+    EjectionPolicy ejection;
+    std::unordered_map<std::string, ServiceStatistics> statistics;
+    std::unordered_map<AttemptId, PendingAttempt> attempts;
+    CoordinatorCounters counters;
+};
+
+/// True when a replacement of the attempt adds no work at any target and its cause is not overload, so that it needs
+/// no token of the extra-load budget.
+bool isFreeToReplace(PartStatus status, TargetState state);
+
+} // namespace Toucan
--- /dev/null
+++ b/Libraries/Engine/EjectionPolicy.cpp
@@ -0,0 +1,76 @@
+#include "Engine/EjectionPolicy.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace Toucan {
+
+static constexpr uint32_t failuresInRow = 5;
+static constexpr uint32_t answersToJudgeLatency = 50;
+static constexpr double slowFactor = 10;
+/// At most one in this many targets of a service is ejected.
+static constexpr size_t targetsPerEjection = 3;
+
+bool EjectionPolicy::isSlow(ServiceDefinition const& service, TargetEvidence const& known) const
+{
+    // The median costs a pass over the service's targets, so it is taken once in so many answers.
+    if (known.answerCount() == 0 || known.answerCount() % answersToJudgeLatency != 0)
+        return false;
+    std::vector<double> latencies;
+    for (auto const& [name, definition] : service.targets) {
+        if (auto const found = this->evidence.targets.find(name);
+            found != this->evidence.targets.end() && found->second.smoothedLatency() > Milliseconds {})
+            latencies.push_back(found->second.smoothedLatency().value);
+    }
+    if (latencies.size() < 2)
+        return false;
+    auto const middle = latencies.begin() + static_cast<std::ptrdiff_t>((latencies.size() - 1) / 2);
+    std::ranges::nth_element(latencies, middle);
+    return known.smoothedLatency().value > slowFactor * *middle;
+}
+
+bool EjectionPolicy::exceedsCap(ServiceDefinition const& service, Milliseconds now) const
+{
+    auto const ejected = std::ranges::count_if(service.targets, [&](auto const& entry) {
+        auto const found = this->evidence.targets.find(entry.first);
+        return found != this->evidence.targets.end() && found->second.isEjected(now);
+    });
+    return (static_cast<size_t>(ejected) + 1) * targetsPerEjection > service.targets.size();
+}
+
+bool EjectionPolicy::isLastReplica(ServiceDefinition const& service, std::string const& target, Milliseconds now) const
+{
+    auto const isUsable = [&](std::string const& name, std::string const& snapshot) {
+        auto const definition = service.targets.find(name);
+        if (definition == service.targets.end() || definition->second.intent == TargetIntent::Draining)
+            return false;
+        auto const& known = this->evidence.of(name);
+        return !known.isEjected(now) && !known.isLeaving(now) && !this->evidence.gone.contains(name, snapshot, now);
+    };
+    for (auto const& snapshot : service.snapshots) {
+        for (auto const& replicas : snapshot.shards) {
+            if (std::ranges::find(replicas, target) == replicas.end())
+                continue;
+            auto const another = std::ranges::any_of(
+                replicas, [&](auto const& name) { return name != target && isUsable(name, snapshot.id); });
+            if (!another)
+                return true;
+        }
+    }
+    return false;
+}
+
+bool EjectionPolicy::review(ServiceDefinition const& service, TargetDefinition const& target, Milliseconds now)
+{
+    auto& known = this->evidence.of(target.name);
+    if (known.isEjected(now))
+        return false;
+    if (known.failuresInRow() < failuresInRow && !this->isSlow(service, known))
+        return false;
+    if (this->exceedsCap(service, now) || this->isLastReplica(service, target.name, now))
+        return false;
+    known.eject(now);
+    return true;
+}
+
+} // namespace Toucan
--- /dev/null
+++ b/Libraries/Engine/GoneSnapshots.cpp
@@ -0,0 +1,26 @@
+#include "Engine/GoneSnapshots.h"
+
+namespace Toucan {
+
+/// A target may load a snapshot late; without an expiry it would never be asked for it again.
+static constexpr Milliseconds lifetime { 10000 };
+
+void GoneSnapshots::add(std::string const& target, std::string const& snapshot, Milliseconds now)
+{
+    this->expiries[{ target, snapshot }] = now + lifetime;
+}
+
+bool GoneSnapshots::contains(std::string const& target, std::string const& snapshot, Milliseconds now) const
+{
+    if (this->expiries.empty())
+        return false;
+    auto const found = this->expiries.find({ target, snapshot });
+    return found != this->expiries.end() && now < found->second;
+}
+
+void GoneSnapshots::prune(Milliseconds now)
+{
+    std::erase_if(this->expiries, [now](auto const& entry) { return entry.second <= now; });
+}
+
+} // namespace Toucan
--- /dev/null
+++ b/Libraries/Engine/LatencyHistogram.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "Base/Clock.h"
+
+#include <array>
+#include <boost/histogram.hpp>
+#include <optional>
+
+namespace Toucan {
+
+/// Quantiles of recent latencies. Two histograms alternate, so that a value counts for one to two periods.
+class LatencyHistogram {
+public:
+    explicit LatencyHistogram(Milliseconds period = 5000_ms);
+
+    void add(Milliseconds latency, Milliseconds now);
+    /// Empty while there are too few values.
+    std::optional<Milliseconds> quantile(double ratio, Milliseconds now) const;
+
+private:
+    using Axis = boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>;
+    using Histogram = decltype(boost::histogram::make_histogram(std::declval<Axis>()));
+    struct Cached {
+        double ratio { -1 };
+        Milliseconds computed;
+        std::optional<Milliseconds> value;
+    };
+
+    static Histogram createHistogram();
+    std::optional<Milliseconds> computeQuantile(double ratio) const;
+
+    Milliseconds period;
+    Milliseconds rotated;
+    std::array<Histogram, 2> histograms;
+    std::array<double, 2> counts { 0, 0 };
+    size_t current { 0 };
+    /// Reading the bins for every part would cost more than the part itself.
+    mutable std::array<Cached, 2> cache;
+};
+
+} // namespace Toucan
--- /dev/null
+++ b/Libraries/Engine/Query.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "Configuration/Configuration.h"
+#include "Engine/HitMerger.h"
+#include "Engine/Messages.h"
+
+#include <limits>
+#include <string>
+#include <vector>
+
+namespace Toucan {
+
+constexpr Milliseconds never { std::numeric_limits<double>::infinity() };
+
+/// Progress of one shard of a query at the pinned snapshot.
+struct ShardProgress {
+    enum class State {
+        Open,
+        Merged,
+        /// No further attempt will be made.
+        Failed,
+    } state { State::Open };
+    /// Attempts without a result.
+    std::vector<AttemptId> live;
+    /// Targets that were asked in this round.
+    std::vector<std::string> tried;
+    uint32_t attempts { 0 };
+    bool hedged { false };
+    Milliseconds hedgeAt { never };
+    Milliseconds retryAt { never };
+    PartStatus lastStatus { PartStatus::NoCarrier };
+    TargetState lastState { TargetState::Serving };
+};
+
+/// State of one query between its start and its answer.
+struct Query {
+    uint64_t number { 0 };
+    CallerRequest request;
+    /// Keeps the definitions below alive.
+    ConfigurationPointer configuration;
+    ServiceDefinition const* service { nullptr };
+    Rule const* rule { nullptr };
+    SnapshotDefinition const* snapshot { nullptr };
+    uint32_t classIndex { 0 };
+    Milliseconds deadline;
+    Milliseconds wakeup { never };
+    std::vector<ShardProgress> shards;
+    HitMerger hits;
+    uint32_t merged { 0 };
+    uint32_t failed { 0 };
+    uint32_t restarts { 0 };
+    /// Set by the first result of which it is not certain that the attempt did not run.
+    bool mayHaveRun { false };
+    /// Longest wait of a merged part in a carrier's queue.
+    Milliseconds queued;
+    bool finished { false };
+
+    Coverage coverage() const;
+    bool settled() const { return this->merged + this->failed == this->shards.size(); }
+    /// Whether the shards that have not failed are enough for the rule.
+    bool canReachMinimum() const;
+    /// Whether the merged shards are enough for a partial answer.
+    bool mayAnswerPartially() const;
+    bool hasLiveAttempts() const;
+};
+
+} // namespace Toucan
--- /dev/null
+++ b/Libraries/Engine/QueryRunner.cpp
@@ -0,0 +1,365 @@
+#include "Engine/QueryRunner.h"
+
+#include <algorithm>
+
+namespace Toucan {
+
+static constexpr uint32_t mostRestarts = 2;
+static constexpr uint32_t mostAttemptsPerShard = 5;
+/// Pause before a shard is looked at again that has no token or no untried replica.
+static constexpr Milliseconds retryPause { 5 };
+static constexpr Milliseconds shortestHedgeDelay { 1 };
+
+void QueryRunner::start(CallerRequest&& request, Milliseconds now)
+{
+    ++this->state.counters.queries;
+    auto const& configuration = this->state.configuration;
+    if (!configuration)
+        return this->refuse(request, notReady(), now);
+    auto const* service = configuration->service(request.service);
+    if (!service)
+        return this->refuse(request, unknownService(request.service), now);
+    auto const& rule = configuration->ruleOf(*service);
+    auto const allowed = request.allowed > Milliseconds {} ? request.allowed : rule.deadline;
+    auto const deadline = request.received + allowed;
+    if (deadline <= now)
+        return this->refuse(request, deadlineExceeded(), now);
+    auto const* snapshot = this->state.selector.newestComplete(*service, now);
+    if (!snapshot && rule.minimumCoverage < 1)
+        snapshot = this->state.selector.mostComplete(*service, now);
+    if (!snapshot)
+        return this->refuse(request, noUsableReplica(), now);
+
+    auto const number = ++this->state.lastRun;
+    auto& query = this->queries[number];
+    query.number = number;
+    query.request = std::move(request);
+    query.configuration = configuration;
+    query.service = service;
+    query.rule = &rule;
+    query.snapshot = snapshot;
+    query.classIndex
+        = configuration->classIndex(query.request.priority.empty() ? rule.priority : query.request.priority);
+    query.deadline = deadline;
+    this->numbers[query.request.handle] = number;
+    this->scheduleAt(query, deadline);
+    this->state.statisticsOf(service->name)
+        .extraLoad.fill(rule.extraLoadBudget * static_cast<double>(snapshot->shards.size()));
+    this->sendAll(query, now);
+    this->eraseIfFinished(number);
+}
+
+void QueryRunner::sendAll(Query& query, Milliseconds now)
+{
+    auto const* snapshot = query.snapshot;
+    query.shards.assign(snapshot->shards.size(), {});
+    query.merged = 0;
+    query.failed = 0;
+    query.queued = {};
+    for (uint32_t shard = 0; shard < snapshot->shards.size() && !query.finished; ++shard) {
+        if (!this->sendAttempt(query, shard, AttemptKind::First, now))
+            this->failShard(query, shard, now);
+    }
+}
+
+bool QueryRunner::sendAttempt(Query& query, uint32_t shard, AttemptKind kind, Milliseconds now)
+{
+    auto& progress = query.shards[shard];
+    auto const* target = this->state.selector.choose(*query.service, *query.rule, *query.snapshot, shard,
+        progress.tried, this->state.medianLatency(query.service->name, now), now);
+    if (!target)
+        return false;
+    PendingAttempt attempt;
+    attempt.run = query.number;
+    attempt.requestId = query.request.requestId;
+    attempt.service = query.service->name;
+    attempt.target = target->name;
+    attempt.snapshot = query.snapshot->id;
+    attempt.shard = shard;
+    PartRequest part;
+    part.classIndex = query.classIndex;
+    part.remaining = query.deadline - now;
+    part.body = query.request.body;
+    progress.live.push_back(this->state.send(std::move(attempt), std::move(part), now));
+    progress.tried.push_back(target->name);
+    ++progress.attempts;
+    progress.retryAt = never;
+
+    auto& counters = this->state.counters;
+    if (kind == AttemptKind::First)
+        ++counters.firstAttempts;
+    else if (kind == AttemptKind::Hedge)
+        ++counters.hedges;
+    else
+        ++counters.retries;
+    if (query.rule->hedge == Feature::On && !progress.hedged) {
+        auto const delay
+            = this->state.statisticsOf(query.service->name).partLatency.quantile(query.rule->hedgeQuantile, now);
+        progress.hedgeAt = delay ? now + std::max(*delay, shortestHedgeDelay) : never;
+        this->scheduleAt(query, progress.hedgeAt);
+    }
+    return true;
+}
+
+void QueryRunner::onResult(PendingAttempt const& attempt, PartResult&& result, Milliseconds now)
+{
+    auto const found = this->queries.find(attempt.run);
+    if (found == this->queries.end())
+        return;
+    auto& query = found->second;
+    auto const shard = attempt.shard;
+    auto& progress = query.shards[shard];
+    auto const status = this->state.checkEcho(attempt, result, *query.rule);
+    this->state.observe(attempt, result, status, *query.rule, now);
+    std::erase(progress.live, result.attempt);
+    query.mayHaveRun |= !certainlyNotRun(status);
+    if (status == PartStatus::Complete) {
+        this->merge(query, progress, std::move(result), now);
+    } else if (progress.state == ShardProgress::State::Open) {
+        progress.lastStatus = status;
+        progress.lastState = result.state;
+        if (progress.live.empty())
+            this->replace(query, shard, now);
+    }
+    this->eraseIfFinished(query.number);
+}
+
+void QueryRunner::merge(Query& query, ShardProgress& shard, PartResult&& result, Milliseconds now)
+{
+    if (shard.state != ShardProgress::State::Open)
+        return;
+    shard.state = ShardProgress::State::Merged;
+    ++query.merged;
+    query.queued = std::max(query.queued, result.queued);
+    query.hits.add(std::move(result.hits));
+    this->cancelLive(shard, now);
+    if (query.settled())
+        this->finish(query, deadlineExceeded(), now);
+}
+
+void QueryRunner::replace(Query& query, uint32_t shard, Milliseconds now)
+{
+    auto& progress = query.shards[shard];
+    progress.retryAt = never;
+    if (!this->state.selector.hasUsable(*query.service, *query.snapshot, shard, now)) {
+        if (!this->restart(query, now))
+            this->failShard(query, shard, now);
+        return;
+    }
+    if (progress.attempts >= mostAttemptsPerShard)
+        return this->failShard(query, shard, now);
+    auto const free = isFreeToReplace(progress.lastStatus, progress.lastState);
+    if (!free && this->state.overloaded(query.service->name, *query.rule, now))
+        return this->failShard(query, shard, now);
+    auto const untried = this->state.selector.choose(
+        *query.service, *query.rule, *query.snapshot, shard, progress.tried, Milliseconds { 1 }, now);
+    auto& extraLoad = this->state.statisticsOf(query.service->name).extraLoad;
+    if (!untried) {
+        // Every usable replica failed once; a second round follows after a pause.
+        progress.tried.clear();
+    } else if (free || extraLoad.tryTake()) {
+        this->sendAttempt(query, shard, AttemptKind::Retry, now);
+        return;
+    }
+    progress.retryAt = now + retryPause;
+    this->scheduleAt(query, progress.retryAt);
+}
+
+bool QueryRunner::restart(Query& query, Milliseconds now)
+{
+    if (query.restarts >= mostRestarts || query.deadline - now < this->state.medianLatency(query.service->name, now))
+        return false;
+    auto const* snapshot = this->state.selector.newestComplete(*query.service, now);
+    if (!snapshot || snapshot == query.snapshot)
+        return false;
+    ++query.restarts;
+    ++this->state.counters.restarts;
+    // Attempts that are cancelled here may still run.
+    query.mayHaveRun |= query.hasLiveAttempts();
+    this->cancelAll(query, now);
+    query.hits.clear();
+    query.snapshot = snapshot;
+    this->sendAll(query, now);
+    return true;
+}
+
+void QueryRunner::hedge(Query& query, uint32_t shard, Milliseconds now)
+{
+    auto& progress = query.shards[shard];
+    progress.hedgeAt = never;
+    if (this->state.overloaded(query.service->name, *query.rule, now))
+        return;
+    auto const* another = this->state.selector.choose(
+        *query.service, *query.rule, *query.snapshot, shard, progress.tried, Milliseconds { 1 }, now);
+    if (!another)
+        return;
+    if (!this->state.statisticsOf(query.service->name).extraLoad.tryTake()) {
+        progress.hedgeAt = now + retryPause;
+        return;
+    }
+    progress.hedged = true;
+    this->sendAttempt(query, shard, AttemptKind::Hedge, now);
+}
+
+void QueryRunner::failShard(Query& query, uint32_t shard, Milliseconds now)
+{
+    auto& progress = query.shards[shard];
+    progress.state = ShardProgress::State::Failed;
+    this->cancelLive(progress, now);
+    ++query.failed;
+    // An answer below the minimum helps no one, so the remaining parts are not waited for.
+    if (query.settled() || !query.canReachMinimum())
+        this->finish(query, partFailed(progress.lastStatus), now);
+}
+
+void QueryRunner::cancelLive(ShardProgress& shard, Milliseconds now)
+{
+    for (auto const& attempt : shard.live)
+        this->state.cancel(attempt, now);
+    shard.live.clear();
+}
+
+void QueryRunner::cancelAll(Query& query, Milliseconds now)
+{
+    for (auto& shard : query.shards)
+        this->cancelLive(shard, now);
+}
+
+void QueryRunner::finish(Query& query, Refusal const& refusal, Milliseconds now)
+{
+    if (query.finished)
+        return;
+    query.finished = true;
+    query.mayHaveRun |= query.hasLiveAttempts();
+    this->cancelAll(query, now);
+    CallerAnswer answer;
+    answer.handle = query.request.handle;
+    answer.requestId = query.request.requestId;
+    answer.service = query.service->name;
+    answer.snapshot = query.snapshot->id;
+    answer.coverage = query.coverage();
+    answer.queued = query.queued;
+    answer.total = now - query.request.received;
+    if (query.mayAnswerPartially()) {
+        answer.outcome = Outcome::Ran;
+        answer.hits = query.hits.take(query.request.limit);
+        this->state.counters.partialAnswers += answer.coverage.whole() ? 0 : 1;
+    } else {
+        answer.outcome = query.mayHaveRun ? Outcome::Unknown : Outcome::NotRun;
+        answer.status = refusal.status;
+        answer.problem = refusal.problem;
+        ++this->state.counters.errors;
+    }
+    this->state.outbox.post(
+        [this, answer = std::move(answer)]() mutable { this->state.hooks.answer(std::move(answer)); });
+}
+
+void QueryRunner::refuse(CallerRequest const& request, Refusal const& refusal, Milliseconds now)
+{
+    ++this->state.counters.errors;
+    CallerAnswer answer;
+    answer.handle = request.handle;
+    answer.requestId = request.requestId;
+    answer.service = request.service;
+    answer.status = refusal.status;
+    answer.outcome = Outcome::NotRun;
+    answer.total = now - request.received;
+    answer.problem = refusal.problem;
+    this->state.outbox.post(
+        [this, answer = std::move(answer)]() mutable { this->state.hooks.answer(std::move(answer)); });
+}
+
+void QueryRunner::abandon(RequestHandle handle, Milliseconds now)
+{
+    auto const found = this->numbers.find(handle);
+    if (found == this->numbers.end())
+        return;
+    auto const number = found->second;
+    auto& query = this->queries.at(number);
+    query.finished = true;
+    this->cancelAll(query, now);
+    this->eraseIfFinished(number);
+}
+
+void QueryRunner::onTimer(Query& query, Milliseconds now)
+{
+    if (now >= query.deadline) {
+        this->blameSilentTargets(query, now);
+        this->finish(query, deadlineExceeded(), now);
+        return;
+    }
+    auto const restarts = query.restarts;
+    for (uint32_t shard = 0; shard < query.shards.size(); ++shard) {
+        auto& progress = query.shards[shard];
+        if (progress.state != ShardProgress::State::Open)
+            continue;
+        if (progress.live.empty() && now >= progress.retryAt)
+            this->replace(query, shard, now);
+        else if (progress.live.size() == 1 && !progress.hedged && now >= progress.hedgeAt)
+            this->hedge(query, shard, now);
+        if (query.finished || query.restarts != restarts)
+            break;
+    }
+    this->scheduleNext(query);
+}
+
+void QueryRunner::blameSilentTargets(Query const& query, Milliseconds now)
+{
+    // Under overload the silence says something about the queue, not about the target.
+    if (this->state.overloaded(query.service->name, *query.rule, now))
+        return;
+    for (auto const& shard : query.shards) {
+        for (auto const& attempt : shard.live)
+            this->state.addFailure(attempt, now);
+    }
+}
+
+void QueryRunner::scheduleAt(Query& query, Milliseconds time)
+{
+    if (time >= query.wakeup)
+        return;
+    this->timers.erase({ query.wakeup, query.number });
+    query.wakeup = time;
+    this->timers.emplace(time, query.number);
+}
+
+void QueryRunner::scheduleNext(Query& query)
+{
+    auto next = query.deadline;
+    for (auto const& shard : query.shards) {
+        if (shard.state != ShardProgress::State::Open)
+            continue;
+        if (shard.live.empty())
+            next = std::min(next, shard.retryAt);
+        else if (!shard.hedged)
+            next = std::min(next, shard.hedgeAt);
+    }
+    this->timers.erase({ query.wakeup, query.number });
+    query.wakeup = next;
+    this->timers.emplace(next, query.number);
+}
+
+void QueryRunner::eraseIfFinished(uint64_t number)
+{
+    auto const found = this->queries.find(number);
+    if (found == this->queries.end() || !found->second.finished)
+        return;
+    this->timers.erase({ found->second.wakeup, number });
+    if (auto const handle = this->numbers.find(found->second.request.handle);
+        handle != this->numbers.end() && handle->second == number)
+        this->numbers.erase(handle);
+    this->queries.erase(found);
+}
+
+void QueryRunner::advance(Milliseconds now)
+{
+    while (!this->timers.empty() && this->timers.begin()->first <= now) {
+        auto const number = this->timers.begin()->second;
+        this->onTimer(this->queries.at(number), now);
+        this->eraseIfFinished(number);
+    }
+}
+
+Milliseconds QueryRunner::nextWakeup() const { return this->timers.empty() ? never : this->timers.begin()->first; }
+
+} // namespace Toucan
--- /dev/null
+++ b/Libraries/Engine/SentCommands.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "Base/Clock.h"
+#include "Engine/Messages.h"
+
+#include <deque>
+#include <unordered_set>
+#include <utility>
+
+namespace Toucan {
+
+/// Attempt ids of commands that were submitted, so that a duplicated message never sends one twice.
+class SentCommands {
+public:
+    /// Returns false when the attempt was added before.
+    bool add(AttemptId const& attempt, Milliseconds now);
+    size_t size() const { return this->known.size(); }
+
+private:
+    /// Longer than a message can be delayed on a connection between nodes.
+    static constexpr Milliseconds lifetime { 600000 };
+    std::unordered_set<AttemptId> known;
+    std::deque<std::pair<Milliseconds, AttemptId>> order;
+};
+
+} // namespace Toucan
--- /dev/null
+++ b/Libraries/Engine/TargetEvidence.cpp
@@ -0,0 +1,119 @@
+#include "Engine/TargetEvidence.h"
+
+#include <algorithm>
+
+namespace Toucan {
+
+static constexpr double smoothing = 0.1;
+/// Reports older than this say nothing about the present queue.
+static constexpr Milliseconds loadLifetime { 1000 };
+/// A lagging report of "serving" within this time does not undo "draining".
+static constexpr Milliseconds drainingHold { 5000 };
+/// Without news the carrier is asked again; it polls the target and refuses while the target drains.
+static constexpr Milliseconds drainingLifetime { 10000 };
+static constexpr Milliseconds firstEjection { 2000 };
+static constexpr Milliseconds longestEjection { 30000 };
+/// Successes in a row after which the next ejection is a first one again.
+static constexpr uint32_t recoverySuccesses = 10;
+static constexpr Milliseconds slowStartDuration { 5000 };
+static constexpr double firstSlowStartFactor = 10;
+
+void TargetEvidence::removeSent()
+{
+    if (this->inFlight > 0)
+        --this->inFlight;
+}
+
+void TargetEvidence::addSuccess(Milliseconds latency)
+{
+    this->failures = 0;
+    ++this->answers;
+    this->smooth(latency);
+    if (++this->successes >= recoverySuccesses)
+        this->ejection = {};
+}
+
+void TargetEvidence::addLowerBound(Milliseconds elapsed)
+{
+    if (elapsed < this->latency)
+        return;
+    ++this->answers;
+    this->smooth(elapsed);
+}
+
+void TargetEvidence::smooth(Milliseconds sample)
+{
+    if (this->latency == Milliseconds {})
+        this->latency = sample;
+    else
+        this->latency += (sample - this->latency) * smoothing;
+}
+
+void TargetEvidence::setState(TargetState next, Milliseconds now)
+{
+    if (next == TargetState::Draining) {
+        this->lastDraining = now;
+    } else if (this->state == TargetState::Draining && now - this->lastDraining < drainingHold) {
+        return;
+    } else if (next == TargetState::Serving && this->state != TargetState::Serving) {
+        this->beginSlowStart(now);
+    }
+    this->state = next;
+}
+
+void TargetEvidence::setLoad(TargetLoad const& reported, uint32_t queuedAtCarrier, Milliseconds now)
+{
+    this->load = reported;
+    this->carrierQueue = queuedAtCarrier;
+    this->loadTime = now;
+}
+
+void TargetEvidence::backOffUntil(Milliseconds time) { this->backOff = std::max(this->backOff, time); }
+
+void TargetEvidence::eject(Milliseconds now)
+{
+    this->ejection = this->ejection == Milliseconds {} ? firstEjection : std::min(longestEjection, this->ejection * 2);
+    this->ejectedUntil = now + this->ejection;
+    this->beginSlowStart(this->ejectedUntil);
+    this->successes = 0;
+    this->answers = 0;
+    // The latency is learnt again after the ejection; a failure right after it ejects again.
+    this->latency = {};
+    this->failures = this->failures > 0 ? this->failures - 1 : 0;
+}
+
+bool TargetEvidence::isLeaving(Milliseconds now) const
+{
+    return this->state == TargetState::Draining && now - this->lastDraining < drainingLifetime;
+}
+
+double TargetEvidence::slowStartFactor(Milliseconds now) const
+{
+    auto const age = std::max(0.0, (now - this->slowStartBegin).value);
+    if (age >= slowStartDuration.value)
+        return 1;
+    return firstSlowStartFactor - (firstSlowStartFactor - 1) * age / slowStartDuration.value;
+}
+
+double TargetEvidence::cost(uint32_t slots, Milliseconds fallbackLatency, Milliseconds now) const
+{
+    auto const fresh = now - this->loadTime < loadLifetime;
+    auto const queued = fresh ? this->load.queued + this->carrierQueue : 0;
+    auto const expected = this->latency == Milliseconds {} ? fallbackLatency : this->latency;
+    auto const work = (this->inFlight + queued + 1.0) / std::max(1U, slots);
+    return work * expected.value * this->slowStartFactor(now);
+}
+
+Json::Value TargetEvidence::describe(Milliseconds now) const
+{
+    Json::Value result(Json::objectValue);
+    result["inFlight"] = this->inFlight;
+    result["failuresInRow"] = this->failures;
+    result["latencyMs"] = this->latency.value;
+    result["state"] = this->isLeaving(now) ? "draining" : this->isStarting() ? "starting" : "serving";
+    result["ejected"] = this->isEjected(now);
+    result["backingOff"] = this->isBackingOff(now);
+    return result;
+}
+
+} // namespace Toucan
