--- /dev/null
+++ b/Tests/Engine/TestCommandRouter.cpp
@@ -0,0 +1,98 @@
+#include "Engine/CommandRouter.h"
+
+#include "CppUTest/TestHarness.h"
+
+using namespace Toucan;
+
+// clang-format off
+TEST_GROUP(CommandRouter)
+{
+    std::vector<std::string> forwarded;
+    std::vector<CallerAnswer> answers;
+    std::string owner = "entry-2";
+    Configuration configuration;
+    CommandRouter router { hooks(), "entry-1" };
+
+    CommandRouter::Hooks hooks()
+    {
+        CommandRouter::Hooks result;
+        result.forward = [this](std::string const& peer, std::string const&, CommandRequest const&) { this->forwarded.push_back(peer); };
+        result.submitLocally = [this](std::string const&, CommandRequest&&) { this->forwarded.emplace_back("local"); };
+        result.answer = [this](CallerAnswer&& answer) { this->answers.push_back(std::move(answer)); };
+        result.likelyOwner = [this](std::string_view) { return this->owner; };
+        result.isUsable = [](std::string const&) { return true; };
+        return result;
+    }
+
+    void setup() override
+    {
+        this->configuration.classes = { "urgent" };
+        this->configuration.rules["rule"] = Rule {};
+        this->configuration.services["service"] = { "service", "rule", {}, {} };
+    }
+
+    void start(Milliseconds allowed)
+    {
+        CallerRequest request;
+        request.handle = 7;
+        request.service = "service";
+        request.requestKey = "key";
+        request.allowed = allowed;
+        this->router.start(std::move(request), this->configuration, 0_ms);
+    }
+
+    CommandVerdict verdict(char const* type) const
+    {
+        CommandVerdict result;
+        result.requestKey = "key";
+        result.status = 503;
+        result.problem.type = type;
+        return result;
+    }
+};
+// clang-format on
+
+// Guards against "not run" for a command of which another node may know more.
+TEST(CommandRouter, SaysUnknownWhenNoOwnerAnswersInTime)
+{
+    this->owner.clear();
+    this->start(50_ms);
+    this->router.advance(50_ms);
+    CHECK_EQUAL(1, this->answers.size());
+    CHECK(this->answers[0].outcome == Outcome::Unknown);
+    CHECK_EQUAL(504, this->answers[0].status);
+}
+
+// Guards against a command that is stuck with a node which lost the range.
+TEST(CommandRouter, ForwardsAgainWhenTheOwnerWasWrong)
+{
+    this->start(100_ms);
+    this->owner = "entry-3";
+    this->router.onVerdict("1", this->verdict("not-owner"), 10_ms);
+    this->router.advance(40_ms);
+    CHECK_EQUAL(2, this->forwarded.size());
+    STRCMP_EQUAL("entry-3", this->forwarded[1].c_str());
+}
+
+// Guards against a command that is lost with the connection to its owner.
+TEST(CommandRouter, ForwardsAgainAfterTheConnectionBroke)
+{
+    this->start(100_ms);
+    this->router.onPeerLost("entry-2", 5_ms);
+    this->router.advance(40_ms);
+    CHECK_EQUAL(2, this->forwarded.size());
+}
+
+// Guards against a second answer to the caller, and against the verdict of another key.
+TEST(CommandRouter, AnswersOnceAndOnlyItsOwnKey)
+{
+    this->start(100_ms);
+    auto other = this->verdict("refused");
+    other.requestKey = "another";
+    this->router.onVerdict("1", std::move(other), 10_ms);
+    CHECK_EQUAL(0, this->answers.size());
+    this->router.onVerdict("1", this->verdict("refused"), 10_ms);
+    this->router.onVerdict("1", this->verdict("refused"), 11_ms);
+    CHECK_EQUAL(1, this->answers.size());
+    CHECK_EQUAL(7, this->answers[0].handle);
+}
--- /dev/null
+++ b/Tests/Engine/TestPartRouter.cpp
@@ -0,0 +1,130 @@
+#include "Engine/CarrierMap.h"
+#include "Engine/PartRouter.h"
+
+#include <set>
+
+#include "CppUTest/TestHarness.h"
+
+using namespace Toucan;
+
+static ConfigurationPointer fleetOfThree()
+{
+    auto configuration = std::make_shared<Configuration>();
+    for (auto const* name : { "entry-1", "entry-2", "entry-3" })
+        configuration->fleet.nodes[name] = { name, "wien-a" };
+    configuration->fleet.carriersPerTarget = 2;
+    ServiceDefinition service;
+    service.name = "service";
+    for (int number = 0; number < 20; ++number) {
+        auto const name = "target-" + std::to_string(number);
+        service.targets[name] = { name, "127.0.0.1:1", "wien-a", 2, 25, TargetIntent::Serving };
+    }
+    configuration->services["service"] = service;
+    return configuration;
+}
+
+// clang-format off
+TEST_GROUP(PartRouter)
+{
+    std::map<std::string, std::vector<PartRequest>> sent;
+    std::map<std::string, std::vector<AttemptId>> cancels;
+    std::vector<PartRequest> local;
+    std::vector<PartResult> results;
+    std::set<std::string> unusable;
+    ConfigurationPointer configuration = fleetOfThree();
+    PartRouter router { hooks(), "entry-1" };
+
+    PartRouter::Hooks hooks()
+    {
+        PartRouter::Hooks result;
+        result.sendParts = [this](std::string const& peer, std::vector<PartRequest> const& parts) { this->sent[peer] = parts; };
+        result.sendCancels = [this](std::string const& peer, std::vector<AttemptId> const& ids) { this->cancels[peer] = ids; };
+        result.submitLocally = [this](PartRequest&& part) { this->local.push_back(std::move(part)); };
+        result.cancelLocally = [](AttemptId const&) {};
+        result.result = [this](PartResult&& part) { this->results.push_back(std::move(part)); };
+        result.isUsable = [this](std::string const& node) { return !this->unusable.contains(node); };
+        return result;
+    }
+
+    void setup() override { this->router.setConfiguration(this->configuration); }
+
+    void sendAll()
+    {
+        for (int number = 0; number < 20; ++number) {
+            PartRequest part;
+            part.attempt = std::to_string(number);
+            part.service = "service";
+            part.target = "target-" + std::to_string(number);
+            this->router.send(part);
+        }
+        this->router.flush();
+    }
+};
+// clang-format on
+
+// Guards against a part that is sent to a node which may not dial the target.
+TEST(PartRouter, SendsEachPartToACandidate)
+{
+    this->sendAll();
+    CHECK_EQUAL(20, this->sent["entry-2"].size() + this->sent["entry-3"].size() + this->local.size());
+    for (auto const& [peer, parts] : this->sent) {
+        for (auto const& part : parts) {
+            auto const& target = this->configuration->services.at("service").targets.at(part.target);
+            auto const names = carrierCandidates(this->configuration->fleet, target, "entry-1");
+            CHECK(std::find(names.begin(), names.end(), peer) != names.end());
+        }
+    }
+}
+
+// Guards against queries that wait for a dead carrier until their deadline.
+TEST(PartRouter, ReportsPartsInFlightAtALostPeer)
+{
+    this->sendAll();
+    auto const atPeer = this->sent["entry-2"].size();
+    CHECK(atPeer > 0);
+    this->router.onPeerLost("entry-2");
+    CHECK_EQUAL(atPeer, this->results.size());
+    for (auto const& result : this->results)
+        CHECK(result.status == PartStatus::ConnectionLost);
+}
+
+// Guards against a "not run" verdict for a part that may have left, and the reverse for one that has not.
+TEST(PartRouter, UnsentPartsOfALostPeerDidNotRun)
+{
+    PartRequest part;
+    part.service = "service";
+    for (int number = 0; number < 20; ++number) {
+        part.attempt = std::to_string(number);
+        part.target = "target-" + std::to_string(number);
+        this->router.send(part);
+    }
+    this->router.onPeerLost("entry-2");
+    CHECK(!this->results.empty());
+    for (auto const& result : this->results)
+        CHECK(certainlyNotRun(result.status));
+    this->router.flush();
+    CHECK(!this->sent.contains("entry-2"));
+}
+
+// Guards against counting a result that comes from a node the part was not sent to, or twice.
+TEST(PartRouter, DropsCrossedAndRepeatedResults)
+{
+    this->sendAll();
+    PartResult result;
+    result.attempt = this->sent["entry-2"].front().attempt;
+    this->router.onPeerResult("entry-3", PartResult(result));
+    CHECK_EQUAL(0, this->results.size());
+    this->router.onPeerResult("entry-2", PartResult(result));
+    this->router.onPeerResult("entry-2", PartResult(result));
+    CHECK_EQUAL(1, this->results.size());
+    CHECK_EQUAL(2, this->router.lateResults());
+}
+
+// Guards against a dead first candidate that makes its targets unreachable.
+TEST(PartRouter, FailsOverToTheNextCandidate)
+{
+    this->unusable = { "entry-2" };
+    this->sendAll();
+    CHECK(!this->sent.contains("entry-2"));
+    CHECK_EQUAL(20, this->sent["entry-3"].size() + this->local.size() + this->results.size());
+}
