--- a/Libraries/Operator/ConfigurationWriter.cpp
+++ b/Libraries/Operator/ConfigurationWriter.cpp
@@ -10,6 +10,7 @@
 // etcd refuses transactions with more than 128 operations or 1.5 MB by default; root and history need room too.
 static constexpr size_t mostPutsInTransaction = 100;
 static constexpr size_t mostBytesInTransaction = 700'000;
+static constexpr size_t mostBytesInValue = 1'000'000;
 static constexpr unsigned mostAttempts = 5;
 static constexpr Milliseconds firstPause { 200 };
 
@@ -19,13 +20,24 @@
 {
 }
 
+static void refuseLargePart(std::string const& name, std::string const& text)
+{
+    if (text.size() > mostBytesInValue)
+        throw Error(ErrorKind::LimitExceeded,
+            "The part \"" + name + "\" has " + std::to_string(text.size()) + " bytes, the store takes "
+                + std::to_string(mostBytesInValue),
+            "Remove old snapshots or divide the service");
+}
+
 WriteOutcome ConfigurationWriter::write(
     StoredRoot const& base, std::map<std::string, std::string> const& parts, Change const& change)
 {
     WriteOutcome outcome;
     outcome.root = { base.root.version + 1, change.id, change.author, change.time, {} };
-    for (auto const& [name, text] : parts)
+    for (auto const& [name, text] : parts) {
+        refuseLargePart(name, text);
         outcome.root.parts[name] = contentHash(text);
+    }
     if (base.revision && outcome.root.parts == base.root.parts) {
         outcome.kind = WriteOutcome::Kind::Unchanged;
         outcome.root = base.root;
--- a/Libraries/Operator/ConfigurationWriter.h
+++ b/Libraries/Operator/ConfigurationWriter.h
@@ -48,7 +48,8 @@
 
     ConfigurationWriter(OperatorStore& store, Pause pause);
 
-    /// Does not throw errors of the store; they are part of the outcome.
+    /// Errors of the store are part of the outcome. Throws Error of kind LimitExceeded, and writes nothing, when a part
+    /// is larger than a value may be in the store.
     WriteOutcome write(StoredRoot const& base, std::map<std::string, std::string> const& parts, Change const& change);
 
 private:
--- a/Tests/Operator/TestOperatorCommands.cpp
+++ b/Tests/Operator/TestOperatorCommands.cpp
@@ -245,6 +245,18 @@
     UNSIGNED_LONGS_EQUAL(252, this->document()["services"].size());
 }
 
+// Guards against a document that the store refuses being retried and then reported as unknown.
+TEST(OperatorCommands, PartBeyondTheStoresLimitIsRefused)
+{
+    Json::Value overlay { Json::objectValue };
+    for (int number = 0; number < 20'000; ++number)
+        overlay["services"]["app"]["targets"]["t" + std::to_string(number)]
+            = parseJson(R"({"address":"127.0.0.1:9001","failureDomain":"wien-a"})");
+    this->expectCode(ExitCode::CheckFailed, this->apply(files(writeJson(overlay))));
+    UNSIGNED_LONGS_EQUAL(0, this->store.transactions);
+    this->contains(this->errors, "The part \"services/app\" has ");
+}
+
 TEST(OperatorCommands, DrainChangesOnlyThatMember)
 {
     this->apply(files());
