--- a/Libraries/Net/HttpServer.cpp
+++ b/Libraries/Net/HttpServer.cpp
@@ -28,12 +28,21 @@
     auto const session = HttpServerSession::start(this->loop, socket, this->limits.session, std::move(sessionHooks));
     if (!full) {
         this->sessions.insert(session);
+        if (this->keepAliveEnded)
+            session->endKeepAlive();
         return;
     }
     session->refuse({ Poco::Net::HTTPResponse::HTTP_SERVICE_UNAVAILABLE, "Too many connections",
         "Try another node or retry later" });
 }
 
+void HttpServer::endKeepAlive()
+{
+    this->keepAliveEnded = true;
+    for (auto const& session : this->sessions)
+        session->endKeepAlive();
+}
+
 void HttpServer::beginStop()
 {
     this->listener.close();
--- a/Libraries/Net/HttpServer.h
+++ b/Libraries/Net/HttpServer.h
@@ -26,6 +26,8 @@
 
     Poco::Net::SocketAddress address() const { return this->listener.address(); }
     size_t connections() const { return this->sessions.size(); }
+    /// Each connection is closed after its next answer, so that peers move elsewhere before beginStop().
+    void endKeepAlive();
     /// Accepts no more connections, closes idle ones, and the others after their running request.
     void beginStop();
 
@@ -35,6 +37,7 @@
     EventLoop& loop;
     Limits limits;
     HttpServerSession::Hooks hooks;
+    bool keepAliveEnded { false };
     std::unordered_set<HttpServerSession::Pointer> sessions;
     TcpListener listener;
 };
--- a/Libraries/Net/HttpServerSession.cpp
+++ b/Libraries/Net/HttpServerSession.cpp
@@ -139,8 +139,6 @@
     this->setTimer(this->limits.responseTimeout, &HttpServerSession::close);
     this->channel->write(text.str());
     this->channel->write(body);
-    if (!this->keepAlive)
-        this->finish();
 }
 
 void HttpServerSession::onDrained()
@@ -181,7 +179,7 @@
 {
     this->closeRequested = true;
     if (this->state == State::Idle)
-        this->close();
+        this->setTimer(this->limits.stopGrace, &HttpServerSession::close);
 }
 
 void HttpServerSession::finish()
--- a/Libraries/Net/HttpServerSession.h
+++ b/Libraries/Net/HttpServerSession.h
@@ -19,6 +19,9 @@
     Milliseconds idleTimeout { 60000 };
     /// Time for the peer to take a response.
     Milliseconds responseTimeout { 10000 };
+    /// Time in which a connection without a request is still read after closeWhenIdle(), because a request may be on
+    /// its way.
+    Milliseconds stopGrace { 500 };
 };
 
 struct HttpServerRequest {
@@ -55,7 +58,9 @@
     void respond(Poco::Net::HTTPResponse& head, std::string_view body);
     /// Answers with a fault and closes the connection.
     void refuse(HttpFault const& fault);
-    /// Closes after the running request, or at once when there is none.
+    /// Closes the connection after the next answer.
+    void endKeepAlive() { this->closeRequested = true; }
+    /// Closes after the running request, or after the grace when there is none.
     void closeWhenIdle();
     void close();
     bool isRunning() const { return this->state == State::Running; }
--- a/Libraries/Net/TcpListener.cpp
+++ b/Libraries/Net/TcpListener.cpp
@@ -33,6 +33,8 @@
 {
     if (!this->open)
         return;
+    // The kernel would reset connections that it has accepted and this process has not.
+    this->acceptReady();
     this->open = false;
     this->loop.cancel(this->resumeTimer);
     this->loop.unwatch(this->socket);
--- a/Libraries/Net/TcpListener.h
+++ b/Libraries/Net/TcpListener.h
@@ -23,7 +23,7 @@
     TcpListener& operator=(TcpListener const&) = delete;
 
     Poco::Net::SocketAddress address() const { return this->socket.address(); }
-    /// Accepts no more; connections that were accepted are not touched.
+    /// Accepts what is waiting, then no more.
     void close();
 
 private:
--- /dev/null
+++ b/Libraries/Node/PeerLinks.cpp
@@ -0,0 +1,162 @@
+#include "Node/PeerLinks.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/SocketAddress.h>
+#include <glog/logging.h>
+#include <utility>
+
+namespace Toucan {
+
+/// Pause between dials of a peer that cannot be reached.
+constexpr Milliseconds redialPause { 100 };
+/// Each peer dials once; the rest covers reconnects and old connections that are not yet known to be broken.
+constexpr size_t mostIncoming = 2000;
+
+PeerLinks::PeerLinks(EventLoop& loop, std::string const& address, std::string nodeName, Hooks hooks)
+    : loop(loop)
+    , nodeName(std::move(nodeName))
+    , hooks(std::move(hooks))
+    , listener(loop, address, [this](Poco::Net::StreamSocket const& socket) { this->accept(socket); })
+{
+}
+
+PeerLinks::~PeerLinks()
+{
+    for (auto const& [peer, link] : this->outgoing) {
+        if (link.session)
+            link.session->close();
+    }
+    for (auto const& [number, link] : this->incoming)
+        link.session->close();
+}
+
+void PeerLinks::send(std::string const& peer, std::string const& peerAddress, Json::Value const& frame)
+{
+    auto& link = this->outgoing[peer];
+    if (link.address != peerAddress) {
+        // A successor of the same name has another address.
+        if (link.session)
+            link.session->close();
+        link = { peerAddress, nullptr, {} };
+    }
+    if (!link.session && !this->dial(peer, link)) {
+        ++this->totals.framesDropped;
+        this->reportBroken(peer);
+        return;
+    }
+    if (link.session->send(frame))
+        ++this->totals.framesSent;
+    else
+        ++this->totals.framesDropped;
+}
+
+bool PeerLinks::dial(std::string const& peer, Outgoing& link)
+{
+    if (this->loop.now() < link.holdUntil)
+        return false;
+    FrameSession::Hooks sessionHooks;
+    // Peers answer on the connection that they dial; a frame here is still theirs.
+    sessionHooks.frame = [this](Json::Value&& frame) {
+        ++this->totals.framesReceived;
+        this->hooks.frame(std::move(frame));
+    };
+    auto const self = std::make_shared<FrameSession*>(nullptr);
+    sessionHooks.ended = [this, peer, self](FrameSession::End) { this->onOutgoingEnded(peer, *self); };
+    try {
+        link.session = FrameSession::connect(
+            this->loop, Poco::Net::SocketAddress(link.address), FrameLimits {}, std::move(sessionHooks));
+    } catch (Poco::Exception const&) {
+        link.holdUntil = this->loop.now() + redialPause;
+        return false;
+    }
+    *self = link.session.get();
+    return true;
+}
+
+void PeerLinks::onOutgoingEnded(std::string const& peer, FrameSession* session)
+{
+    auto& link = this->outgoing[peer];
+    if (link.session.get() != session)
+        return;
+    link.session.reset();
+    link.holdUntil = this->loop.now() + redialPause;
+    ++this->totals.connectionsLost;
+    this->reportBroken(peer);
+}
+
+void PeerLinks::accept(Poco::Net::StreamSocket const& socket)
+{
+    if (this->incoming.size() >= mostIncoming) {
+        LOG_EVERY_N(WARNING, 1000) << "More than " << mostIncoming << " peer connections; a new one was closed";
+        return;
+    }
+    auto const number = ++this->lastNumber;
+    FrameSession::Hooks sessionHooks;
+    sessionHooks.frame = [this, number](Json::Value&& frame) { this->onFrame(number, std::move(frame)); };
+    sessionHooks.ended = [this, number](FrameSession::End) { this->onIncomingEnded(number); };
+    this->incoming[number].session = FrameSession::adopt(this->loop, socket, FrameLimits {}, std::move(sessionHooks));
+}
+
+void PeerLinks::onFrame(uint64_t number, Json::Value&& frame)
+{
+    auto const found = this->incoming.find(number);
+    if (found == this->incoming.end())
+        return;
+    auto& link = found->second;
+    auto const& from = frame["from"];
+    bool const valid = from.isString() && !from.asString().empty() && from.asString() != this->nodeName
+        && (link.peer.empty() || link.peer == from.asString());
+    if (!valid) {
+        ++this->totals.framesDropped;
+        auto const session = link.session;
+        this->onIncomingEnded(number);
+        session->close();
+        return;
+    }
+    if (link.peer.empty()) {
+        link.peer = from.asString();
+        this->newestIncoming[link.peer] = number;
+    }
+    ++this->totals.framesReceived;
+    this->hooks.frame(std::move(frame));
+}
+
+void PeerLinks::onIncomingEnded(uint64_t number)
+{
+    auto const found = this->incoming.find(number);
+    if (found == this->incoming.end())
+        return;
+    auto const peer = found->second.peer;
+    this->incoming.erase(found);
+    if (peer.empty())
+        return;
+    ++this->totals.connectionsLost;
+    // The end of an older connection says nothing about a peer that has dialled again.
+    if (auto const newest = this->newestIncoming.find(peer); newest->second == number) {
+        this->newestIncoming.erase(newest);
+        this->reportBroken(peer);
+    }
+}
+
+void PeerLinks::reportBroken(std::string const& peer)
+{
+    if (this->brokenPeers.empty()) {
+        this->loop.atTurnEnd([this] {
+            for (auto const& broken : std::exchange(this->brokenPeers, {}))
+                this->hooks.broken(broken);
+        });
+    }
+    this->brokenPeers.insert(peer);
+}
+
+size_t PeerLinks::unsent() const
+{
+    size_t total = 0;
+    for (auto const& [peer, link] : this->outgoing) {
+        if (link.session && link.session->isConnected())
+            total += link.session->unsent();
+    }
+    return total;
+}
+
+} // namespace Toucan
--- /dev/null
+++ b/Libraries/Node/PeerLinks.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "Net/FrameSession.h"
+#include "Net/TcpListener.h"
+
+#include <cstdint>
+#include <functional>
+#include <json/value.h>
+#include <map>
+#include <set>
+#include <string>
+
+namespace Toucan {
+
+/// Frame connections between nodes: one that this node dials for each peer, which carries its frames, and those that
+/// peers dial.
+class PeerLinks {
+public:
+    struct Hooks {
+        std::function<void(Json::Value&&)> frame;
+        /// A connection to or from the peer broke, or could not be made.
+        std::function<void(std::string const& peer)> broken;
+    };
+    struct Counters {
+        uint64_t framesSent { 0 };
+        uint64_t framesReceived { 0 };
+        uint64_t framesDropped { 0 };
+        uint64_t connectionsLost { 0 };
+    };
+
+    /// Throws as TcpListener does.
+    PeerLinks(EventLoop& loop, std::string const& address, std::string nodeName, Hooks hooks);
+    ~PeerLinks();
+    PeerLinks(PeerLinks const&) = delete;
+    PeerLinks& operator=(PeerLinks const&) = delete;
+
+    /// Dials the peer when there is no connection to this address yet.
+    void send(std::string const& peer, std::string const& peerAddress, Json::Value const& frame);
+    Poco::Net::SocketAddress address() const { return this->listener.address(); }
+    Counters const& counters() const { return this->totals; }
+    /// Bytes that peers have not taken yet.
+    size_t unsent() const;
+
+private:
+    struct Outgoing {
+        std::string address;
+        FrameSession::Pointer session;
+        /// No dial before this time after a failure.
+        Milliseconds holdUntil;
+    };
+    struct Incoming {
+        FrameSession::Pointer session;
+        /// Known from the first frame.
+        std::string peer;
+    };
+
+    bool dial(std::string const& peer, Outgoing& link);
+    void onOutgoingEnded(std::string const& peer, FrameSession* session);
+    void accept(Poco::Net::StreamSocket const& socket);
+    void onFrame(uint64_t number, Json::Value&& frame);
+    void onIncomingEnded(uint64_t number);
+    void reportBroken(std::string const& peer);
+
+    EventLoop& loop;
+    std::string nodeName;
+    Hooks hooks;
+    Counters totals;
+    std::map<std::string, Outgoing> outgoing;
+    std::map<uint64_t, Incoming> incoming;
+    /// Newest incoming connection of each peer.
+    std::map<std::string, uint64_t> newestIncoming;
+    /// Reported at the end of the turn, once for each peer.
+    std::set<std::string> brokenPeers;
+    uint64_t lastNumber { 0 };
+    TcpListener listener;
+};
+
+} // namespace Toucan
--- /dev/null
+++ b/Libraries/Node/ThreadMessages.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "Engine/Carrier.h"
+#include "Engine/Messages.h"
+
+#include <json/value.h>
+#include <string>
+#include <variant>
+
+namespace Toucan {
+
+struct CallerGone {
+    RequestHandle handle { 0 };
+};
+struct FrameReceived {
+    Json::Value frame;
+};
+struct PeerBroken {
+    std::string peer;
+};
+struct TargetStatusReport {
+    std::string target;
+    TargetState state { TargetState::Serving };
+    TargetLoad load;
+};
+
+/// What the network thread tells the engine thread.
+using EngineEvent = std::variant<std::monostate, CallerRequest, CallerGone, FrameReceived, PeerBroken, TargetAnswer,
+    TargetStatusReport>;
+
+struct FrameToSend {
+    std::string peer;
+    std::string address;
+    Json::Value frame;
+};
+struct CancelTargetCall {
+    AttemptId attempt;
+    std::string target;
+};
+struct PollTarget {
+    std::string target;
+    std::string address;
+};
+
+/// What the engine thread asks of the network thread.
+using NetworkTask = std::variant<std::monostate, FrameToSend, TargetCall, CancelTargetCall, PollTarget, CallerAnswer>;
+
+} // namespace Toucan
--- a/Tests/Net/TestHttpServerSession.cpp
+++ b/Tests/Net/TestHttpServerSession.cpp
@@ -18,6 +18,7 @@
     limits.session.requestTimeout = 150_ms;
     limits.session.idleTimeout = 300_ms;
     limits.session.responseTimeout = 300_ms;
+    limits.session.stopGrace = 50_ms;
     limits.connections = 8;
     return limits;
 }
@@ -265,6 +266,34 @@
     LONGS_EQUAL(8, this->server->connections());
 }
 
+// Guards against a planned stop that cuts a request which was on its way, or a connection that waits in the backlog.
+TEST(HttpServerSession, ServesRequestsThatArriveDuringTheStop)
+{
+    auto idle = this->connect();
+    runUntil(this->loop, 200_ms, [this] { return this->server->connections() == 1; });
+    auto waiting = this->connect();
+    this->server->beginStop();
+    idle.send(post("Content-Length: 3\r\n", "one"));
+    waiting.send(post("Content-Length: 3\r\n", "two"));
+    idle.receiveUntilClosed(this->loop, 500_ms);
+    waiting.receiveUntilClosed(this->loop, 500_ms);
+    CHECK(idle.received.ends_with("\r\n\r\none"));
+    CHECK(waiting.received.ends_with("\r\n\r\ntwo"));
+    CHECK(idle.received.find("Connection: close") != std::string::npos);
+}
+
+// Guards against callers that stay on a node until its listener closes.
+TEST(HttpServerSession, EndsKeepAliveBeforeTheStop)
+{
+    auto peer = this->connect();
+    runUntil(this->loop, 200_ms, [this] { return this->server->connections() == 1; });
+    this->server->endKeepAlive();
+    peer.send(post("Content-Length: 3\r\n", "one"));
+    peer.receiveUntilClosed(this->loop, 500_ms);
+    CHECK(peer.received.ends_with("\r\n\r\none"));
+    CHECK(peer.received.find("Connection: close") != std::string::npos);
+}
+
 // Guards against a planned stop that cuts a running request.
 TEST(HttpServerSession, StopsAfterTheRunningRequest)
 {
