Add the control thread and the watch thread

The engine has no I/O, so two threads carry out its store requests and watch the configuration's root.

- ControlThread answers each request.
- StoreClient::transactForRevision() returns the new mod_revision, which saves a read for each write of an ownership record.
- WatchThread sends all parts of a version: the engine may have refused the one before and lack its parts.

--- /dev/null
+++ b/Libraries/Node/CallGate.cpp
@@ -0,0 +1,22 @@
+#include "Node/CallGate.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Toucan {
+
+bool CallGate::onSuccess()
+{
+    this->pause = firstPause;
+    return std::exchange(this->failing, false);
+}
+
+bool CallGate::onFailure(Milliseconds now)
+{
+    std::uniform_real_distribution<double> jitter(0.5, 1.5);
+    this->notBefore = now + this->pause * jitter(this->generator);
+    this->pause = std::min(this->pause * 2, longestPause);
+    return !std::exchange(this->failing, true);
+}
+
+} // namespace Toucan
--- /dev/null
+++ b/Libraries/Node/ReplySender.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "Engine/NodeEngine.h"
+
+#include <Poco/Event.h>
+#include <functional>
+
+namespace Toucan {
+
+/// Takes a reply, or returns false and leaves it unchanged when there is no room.
+using StoreReplySink = std::function<bool(StoreReply&&)>;
+
+/// Hands replies to the engine thread and waits while its ring is full. Used by one sending thread.
+class ReplySender {
+public:
+    explicit ReplySender(StoreReplySink sink);
+
+    /// Returns false when stop() came before there was room.
+    bool send(StoreReply&& reply);
+    /// From any thread; ends a waiting send() at once.
+    void stop();
+
+private:
+    StoreReplySink sink;
+    /// Stays set once stop() was called.
+    Poco::Event stopped { Poco::Event::EVENT_MANUALRESET };
+};
+
+} // namespace Toucan
--- /dev/null
+++ b/Libraries/Node/WatchThread.cpp
@@ -0,0 +1,118 @@
+#include "Node/WatchThread.h"
+
+#include "Base/Error.h"
+#include "Node/ConfigurationReader.h"
+#include "Platform/StoreClient.h"
+#include <algorithm>
+#include <cmath>
+#include <glog/logging.h>
+
+namespace Toucan {
+
+static constexpr long longestWaitMs = 1000;
+/// A watch that ends sooner is treated as a failure, so that a store which closes each watch is not called in a loop.
+static constexpr Milliseconds shortestWatch = 1000_ms;
+
+WatchThread::WatchThread(Options threadOptions, StoreReplySink sink)
+    : options(std::move(threadOptions))
+    , replies(std::move(sink))
+{
+    // Refuses an invalid endpoint here and not later in the thread.
+    StoreClient const probe(this->options.store, this->options.timeout);
+    this->thread = std::thread([this] { this->run(); });
+}
+
+WatchThread::~WatchThread() { this->stop(); }
+
+void WatchThread::setWatching(bool on)
+{
+    this->watching = on;
+    if (!on)
+        this->interrupt();
+    this->wakeup.set();
+}
+
+void WatchThread::stop()
+{
+    this->stopping = true;
+    this->replies.stop();
+    this->interrupt();
+    this->wakeup.set();
+    if (this->thread.joinable())
+        this->thread.join();
+}
+
+void WatchThread::interrupt()
+{
+    std::lock_guard const lock(this->mutex);
+    if (this->client)
+        this->client->stop();
+}
+
+void WatchThread::run()
+{
+    while (!this->stopping) {
+        Milliseconds const now = Clock::now();
+        if (this->active() && this->gate.open(now)) {
+            this->watchOnce();
+            continue;
+        }
+        double const wait = this->active() ? std::ceil((this->gate.opensAt() - now).value) : longestWaitMs;
+        this->wakeup.tryWait(std::clamp(static_cast<long>(wait), 1L, longestWaitMs));
+    }
+}
+
+void WatchThread::watchOnce()
+{
+    auto const current = std::make_shared<StoreClient>(this->options.store, this->options.timeout);
+    {
+        std::lock_guard const lock(this->mutex);
+        this->client = current;
+    }
+    Milliseconds const start = Clock::now();
+    bool failed = false;
+    std::string reason = "the watch ended at once";
+    try {
+        uint64_t const revision = this->readRoot(*current);
+        if (this->active())
+            current->watch(ConfigurationReader::rootKey, revision + 1, [&](StoreValue const& value) {
+                return this->sendRoot(*current, ConfigurationReader::parseHead(value).root);
+            });
+        failed = this->active() && Clock::now() - start < shortestWatch;
+    } catch (Error const& error) {
+        failed = true;
+        reason = error.what();
+    }
+    {
+        std::lock_guard const lock(this->mutex);
+        this->client.reset();
+    }
+    if (!failed && this->gate.onSuccess())
+        LOG(INFO) << "the configuration is watched again";
+    if (failed && this->gate.onFailure(Clock::now()))
+        LOG(WARNING) << "the configuration is not watched: " << reason;
+}
+
+uint64_t WatchThread::readRoot(StoreClient& current)
+{
+    auto const head = ConfigurationReader(current).readHead();
+    if (!head || head->root.version == this->lastSent.root.version) {
+        StoreReply reply;
+        reply.reachable = true;
+        this->replies.send(std::move(reply));
+    } else {
+        this->sendRoot(current, head->root);
+    }
+    return head ? head->revision : 0;
+}
+
+bool WatchThread::sendRoot(StoreClient& current, ConfigurationRoot const& root)
+{
+    this->lastSent = ConfigurationReader(current).complete(root, this->lastSent.parts);
+    StoreReply reply;
+    reply.reachable = true;
+    reply.update = this->lastSent;
+    return this->replies.send(std::move(reply)) && this->active();
+}
+
+} // namespace Toucan
--- a/Libraries/Platform/StoreClient.cpp
+++ b/Libraries/Platform/StoreClient.cpp
@@ -77,6 +77,8 @@
 
     Json::Value call(std::string const& path, Json::Value const& request)
     {
+        if (this->stopped)
+            throw Error(ErrorKind::Unavailable, "The store client was stopped", "Make no calls during a stop");
         Poco::Net::HTTPResponse response;
         auto const deadline = Clock::now() + this->timeout;
         std::istream& stream = exchange(this->session, "POST", path, writeJson(request), response);
@@ -195,7 +197,7 @@
     Milliseconds timeout;
     Poco::Net::HTTPClientSession session;
     std::mutex mutex;
-    bool stopped { false };
+    std::atomic<bool> stopped { false };
     /// The socket of a running watch; stop() shuts it down, which ends the blocked read.
     std::optional<Poco::Net::StreamSocket> watchSocket;
 };
@@ -234,6 +236,12 @@
 }
 
 bool StoreClient::transact(std::vector<StoreComparison> const& comparisons, std::vector<StorePut> const& puts)
+{
+    return this->transactForRevision(comparisons, puts).has_value();
+}
+
+std::optional<uint64_t> StoreClient::transactForRevision(
+    std::vector<StoreComparison> const& comparisons, std::vector<StorePut> const& puts)
 {
     Json::Value request;
     request["compare"] = Json::arrayValue;
@@ -255,7 +263,9 @@
     Json::Value const answer = this->implementation->call("/v3/kv/txn", request);
     if (!answer.isObject())
         throw protocolError("The answer to a transaction is not an object");
-    return answer["succeeded"].isBool() && answer["succeeded"].asBool();
+    if (!answer["succeeded"].isBool() || !answer["succeeded"].asBool())
+        return std::nullopt;
+    return readNumber(answer["header"], "revision");
 }
 
 void StoreClient::watch(
--- a/Libraries/Platform/StoreClient.h
+++ b/Libraries/Platform/StoreClient.h
@@ -42,8 +42,12 @@
     std::vector<StoreValue> getPrefix(std::string const& prefix);
     /// Returns whether all comparisons held and the puts took effect.
     bool transact(std::vector<StoreComparison> const& comparisons, std::vector<StorePut> const& puts);
+    /// As transact(); returns the mod_revision that the puts got, or nothing when a comparison failed.
+    std::optional<uint64_t> transactForRevision(
+        std::vector<StoreComparison> const& comparisons, std::vector<StorePut> const& puts);
     /// Streams changes of a key until `changed` returns false, the stream ends or a call of stop() from another thread.
     void watch(std::string const& key, uint64_t fromRevision, std::function<bool(StoreValue const&)> const& changed);
+    /// From any thread. Ends a running watch; later watches end at once, and later calls throw Unavailable.
     void stop();
 
 private:
