--- /dev/null
+++ b/Tests/Engine/KeyOwnerFixture.h
@@ -0,0 +1,111 @@
+#pragma once
+
+#include "EngineFixtures.h"
+
+#include "Engine/KeyOwner.h"
+
+#include <array>
+#include <cstdio>
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace Toucan {
+
+/// UUIDv7 with the given time and a distinguishing number.
+inline std::string makeKey(uint64_t time, uint32_t number)
+{
+    std::array<char, 64> text {};
+    std::snprintf(text.data(), text.size(), "%08llx-%04llx-7000-8000-0000%08x",
+        static_cast<unsigned long long>(time >> 16), static_cast<unsigned long long>(time & 0xffff), number);
+    return text.data();
+}
+
+/// Compare-and-swap store of ownership records.
+struct FakeStore {
+    std::map<uint32_t, OwnershipRecord> records;
+    uint64_t revision { 0 };
+
+    bool swap(OwnershipRecord next, uint64_t expectedRevision)
+    {
+        auto const found = this->records.find(next.range);
+        if ((found == this->records.end() ? 0 : found->second.revision) != expectedRevision)
+            return false;
+        next.revision = ++this->revision;
+        this->records[next.range] = next;
+        return true;
+    }
+    std::optional<OwnershipRecord> read(uint32_t range) const
+    {
+        auto const found = this->records.find(range);
+        return found == this->records.end() ? std::nullopt : std::optional(found->second);
+    }
+};
+
+/// One incarnation of a node with a key owner; its writes and runs wait until the test handles them.
+struct OwnerNode {
+    struct Write {
+        OwnershipRecord next;
+        uint64_t expectedRevision;
+    };
+    struct Reply {
+        std::string sender;
+        CommandVerdict verdict;
+    };
+
+    OwnerNode(std::string const& name, uint64_t incarnation)
+        : name(name)
+        , owner({ [this](OwnershipRecord const& next, uint64_t expected) {
+                     this->writes.push_back({ next, expected });
+                 },
+                    [this](CommandRequest const& command) { this->runs.push_back(command); },
+                    [this](std::string const& sender, CommandVerdict&& verdict) {
+                        this->replies.push_back({ sender, std::move(verdict) });
+                    },
+                    [](std::string const&) { return false; } },
+              name, incarnation)
+    {
+    }
+
+    /// Carries out the writes and reports the results.
+    void settle(FakeStore& store, Milliseconds now)
+    {
+        for (auto const& write : std::exchange(this->writes, {})) {
+            auto const accepted = store.swap(write.next, write.expectedRevision);
+            this->owner.onWriteResult(write.next.range,
+                accepted ? KeyOwner::WriteResult::Accepted : KeyOwner::WriteResult::Conflict,
+                store.read(write.next.range), now);
+        }
+    }
+    void step(FakeStore& store, Milliseconds wall)
+    {
+        this->owner.advance(wall, wall);
+        this->settle(store, wall);
+    }
+    void submit(std::string const& key, Milliseconds now, std::string const& sender = "entry")
+    {
+        CommandRequest command;
+        command.requestKey = key;
+        command.requestId = "r-" + sender;
+        command.service = "s";
+        command.remaining = 50_ms;
+        this->owner.submit(sender, std::move(command), now);
+    }
+    void finish(CommandRequest const& command, Outcome outcome, Milliseconds now)
+    {
+        CommandVerdict verdict;
+        verdict.requestKey = command.requestKey;
+        verdict.requestId = command.requestId;
+        verdict.outcome = outcome;
+        verdict.status = outcome == Outcome::Ran ? 200 : 503;
+        this->owner.onCommandFinished(std::move(verdict), now);
+    }
+
+    std::string name;
+    std::vector<Write> writes;
+    std::vector<CommandRequest> runs;
+    std::vector<Reply> replies;
+    KeyOwner owner;
+};
+
+} // namespace Toucan
