Test hedges, budget, restarts, ejection and slow start; let unmeasured replicas be tried

Cause: a test of slow start showed that a fresh replica was never chosen beside a faster measured one, because it counted with the service's median. A lost connection to a carrier also counted as a failure of the target. Change: an unmeasured replica counts as fast as its rival; results made up at the loss of a carrier are no evidence against the target. Tests cover repartition, restart, hedge, budget, overload brake, ejection cap, slow start, commands and the ageing of latencies.

--- a/Libraries/Engine/CoordinatorState.cpp
+++ b/Libraries/Engine/CoordinatorState.cpp
@@ -112,6 +112,12 @@
     }
 }
 
+/// A result that this node made up when the connection to the carrier broke has no service time.
+static bool isLossOfCarrier(PartResult const& result)
+{
+    return result.status == PartStatus::ConnectionLost && result.service == Milliseconds {};
+}
+
 void CoordinatorState::observe(
     PendingAttempt const& attempt, PartResult const& result, PartStatus status, Rule const& rule, Milliseconds now)
 {
@@ -122,7 +128,7 @@
     if (status == PartStatus::Complete) {
         known.addSuccess(result.service);
         statistics.partLatency.add(now - attempt.sent, now);
-    } else if (isFailure(status)) {
+    } else if (isFailure(status) && !isLossOfCarrier(result)) {
         known.addFailure();
     }
     if (status == PartStatus::Mismatch)
--- a/Libraries/Engine/ReplicaSelector.cpp
+++ b/Libraries/Engine/ReplicaSelector.cpp
@@ -104,11 +104,15 @@
     auto second = this->randomIndex(candidates->size() - 1);
     if (second >= first)
         ++second;
-    auto const cost = [&](TargetDefinition const* target) {
-        return this->evidence.of(target->name).cost(target->slots, fallbackLatency, now);
-    };
     auto const* left = (*candidates)[first];
     auto const* right = (*candidates)[second];
+    // An unmeasured target counts as fast as its rival, otherwise a fast rival would keep it unmeasured.
+    auto const rivalLatency
+        = std::max(this->evidence.of(left->name).smoothedLatency(), this->evidence.of(right->name).smoothedLatency());
+    auto const assumed = rivalLatency > Milliseconds {} ? rivalLatency : fallbackLatency;
+    auto const cost = [&](TargetDefinition const* target) {
+        return this->evidence.of(target->name).cost(target->slots, assumed, now);
+    };
     return cost(right) < cost(left) ? right : left;
 }
 
--- /dev/null
+++ b/Tests/Engine/TestCoordinatorMechanisms.cpp
@@ -0,0 +1,247 @@
+#include "CoordinatorFixture.h"
+
+#include "Engine/LatencyHistogram.h"
+
+#include "CppUTest/TestHarness.h"
+
+using namespace Toucan;
+
+TEST_GROUP(CoordinatorMechanisms)
+{
+    CoordinatorFixture fixture;
+    TestConfiguration configuration;
+
+    void setup() override
+    {
+        configuration.addSnapshot("s1", 1, { { "a", "b" }, { "b", "c" }, { "c", "a" } });
+        fixture.configure(configuration);
+    }
+    void configureOneShard()
+    {
+        configuration.service().snapshots.clear();
+        configuration.addSnapshot("s1", 1, { { "a", "b", "c" } });
+        fixture.configure(configuration);
+    }
+    CommandRequest makeCommand()
+    {
+        CommandRequest command;
+        command.requestKey = "key";
+        command.requestId = "r1";
+        command.service = "s";
+        command.record = "record";
+        command.remaining = 50_ms;
+        return command;
+    }
+};
+
+// Guards against an answer that mixes two snapshots after a repartition in the middle of a query.
+TEST(CoordinatorMechanisms, QueryStaysAtItsSnapshot)
+{
+    fixture.start(1);
+    auto const parts = fixture.takeParts();
+    configuration.addSnapshot("s2", 2, { { "a", "b" }, { "b", "c" } });
+    fixture.configure(configuration);
+    for (auto const& part : parts)
+        fixture.give(part);
+    STRCMP_EQUAL("s1", fixture.answers.at(0).snapshot.c_str());
+    fixture.start(2);
+    auto const later = fixture.takeParts();
+    LONGS_EQUAL(2, later.size());
+    STRCMP_EQUAL("s2", later[0].snapshot.c_str());
+}
+
+// Guards against a pin of a snapshot that lacks a usable replica of a shard.
+TEST(CoordinatorMechanisms, PinsTheNewestCompleteSnapshot)
+{
+    configuration.addSnapshot("s2", 2, { { "a" }, { "b" } });
+    fixture.configure(configuration);
+    fixture.coordinator.noteTargetState("a", TargetState::Draining, fixture.now);
+    fixture.start(1);
+    for (auto const& part : fixture.takeParts()) {
+        STRCMP_EQUAL("s1", part.snapshot.c_str());
+        CHECK(part.target != "a");
+    }
+}
+
+// Guards against an error, or parts of two snapshots, when the last replica of a shard drops the pinned one.
+TEST(CoordinatorMechanisms, RestartsWhenTheLastReplicaIsGone)
+{
+    configuration.addSnapshot("s2", 2, { { "a" }, { "b" } });
+    fixture.configure(configuration);
+    fixture.start(1);
+    auto const parts = fixture.takeParts();
+    fixture.give(parts.at(1));
+    fixture.give(parts.at(0), PartStatus::SnapshotGone);
+    auto const restarted = fixture.takeParts();
+    LONGS_EQUAL(3, restarted.size());
+    for (auto const& part : restarted)
+        fixture.give(part);
+    auto const& answer = fixture.answers.at(0);
+    STRCMP_EQUAL("s1", answer.snapshot.c_str());
+    LONGS_EQUAL(3, answer.hits.size());
+    LONGS_EQUAL(1, fixture.counter("restarts"));
+}
+
+// Guards against a restart that cannot end before the deadline.
+TEST(CoordinatorMechanisms, NoRestartWithoutTimeForIt)
+{
+    configuration.addSnapshot("s2", 2, { { "a" }, { "b" } });
+    fixture.configure(configuration);
+    fixture.start(1);
+    auto const parts = fixture.takeParts();
+    fixture.advanceTo(fixture.now + Milliseconds { 58.5 });
+    fixture.give(parts.at(0), PartStatus::SnapshotGone);
+    LONGS_EQUAL(0, fixture.counter("restarts"));
+    LONGS_EQUAL(503, fixture.answers.at(0).status);
+}
+
+// Guards against a straggler that decides the latency, and against a loser that keeps working.
+TEST(CoordinatorMechanisms, HedgesAfterTheQuantileAndCancelsTheLoser)
+{
+    configureOneShard();
+    fixture.warmUp(50, 4_ms);
+    fixture.start(1);
+    auto const first = fixture.takeParts().at(0);
+    fixture.advanceTo(fixture.now + 3_ms);
+    LONGS_EQUAL(0, fixture.parts.size());
+    fixture.advanceTo(fixture.now + 2_ms);
+    auto const hedge = fixture.takeParts().at(0);
+    CHECK(hedge.target != first.target);
+    fixture.give(hedge);
+    LONGS_EQUAL(200, fixture.answers.at(0).status);
+    CHECK(fixture.wasCancelled(first.attempt));
+}
+
+// Guards against hedges in spite of the rule.
+TEST(CoordinatorMechanisms, HedgeOffSendsNone)
+{
+    configuration.rule().hedge = Feature::Off;
+    configureOneShard();
+    fixture.warmUp(50, 4_ms);
+    fixture.start(1);
+    fixture.takeParts();
+    fixture.advanceTo(fixture.now + 40_ms);
+    LONGS_EQUAL(0, fixture.parts.size());
+}
+
+// Guards against extra load above the budget when every part straggles.
+TEST(CoordinatorMechanisms, HedgesAndRetriesStayWithinTheBudget)
+{
+    configureOneShard();
+    fixture.warmUp(50, 4_ms);
+    for (RequestHandle handle = 1; handle <= 200; ++handle) {
+        fixture.start(handle);
+        fixture.advanceTo(fixture.now + 6_ms);
+        for (auto const& part : fixture.takeParts())
+            fixture.give(part);
+    }
+    auto const extra = fixture.counter("hedges") + fixture.counter("retries");
+    CHECK(extra > 0);
+    CHECK(extra <= 10 + (200 + 50) / 20);
+}
+
+// Guards against a retry storm: a refusal of a carrier ends the query at once while limits are on.
+TEST(CoordinatorMechanisms, NoRetryUnderOverload)
+{
+    configureOneShard();
+    fixture.start(1);
+    fixture.give(fixture.takeParts().at(0), PartStatus::Refused);
+    LONGS_EQUAL(0, fixture.parts.size());
+    CHECK(fixture.answers.at(0).outcome == Outcome::NotRun);
+
+    configuration.rule().limits = Feature::Off;
+    fixture.configure(configuration);
+    fixture.start(2);
+    fixture.give(fixture.takeParts().at(0), PartStatus::Refused);
+    LONGS_EQUAL(1, fixture.parts.size());
+}
+
+// Guards against ejecting so many targets that the rest is overloaded.
+TEST(CoordinatorMechanisms, EjectsAtMostOneThird)
+{
+    configureOneShard();
+    for (RequestHandle handle = 1; handle <= 40; ++handle) {
+        fixture.start(handle);
+        for (auto parts = fixture.takeParts(); !parts.empty(); parts = fixture.takeParts()) {
+            for (auto const& part : parts)
+                fixture.give(part, part.target == "c" ? PartStatus::Complete : PartStatus::TargetError);
+        }
+        fixture.coordinator.abandon(handle, fixture.now);
+    }
+    LONGS_EQUAL(1, fixture.counter("ejections"));
+}
+
+// Guards against ejection in spite of the rule.
+TEST(CoordinatorMechanisms, EjectionOffEjectsNone)
+{
+    configuration.rule().ejection = Feature::Off;
+    configureOneShard();
+    for (RequestHandle handle = 1; handle <= 20; ++handle) {
+        fixture.start(handle);
+        fixture.give(fixture.takeParts().at(0), PartStatus::TargetError);
+        fixture.coordinator.abandon(handle, fixture.now);
+        fixture.takeParts();
+    }
+    LONGS_EQUAL(0, fixture.counter("ejections"));
+}
+
+// Guards against a flood on a target that has just become ready.
+TEST(CoordinatorMechanisms, SlowStartSendsLessToAFreshTarget)
+{
+    configureOneShard();
+    fixture.warmUp(60, 4_ms);
+    configuration.addTarget("d");
+    configuration.service().snapshots.clear();
+    configuration.addSnapshot("s2", 2, { { "a", "d" } });
+    fixture.configure(configuration);
+    auto const shareOfFresh = [&] {
+        size_t fresh = 0;
+        for (RequestHandle handle = 1; handle <= 20; ++handle) {
+            fixture.start(handle);
+            for (auto const& part : fixture.takeParts()) {
+                fresh += part.target == "d" ? 1 : 0;
+                fixture.give(part);
+            }
+        }
+        return fresh;
+    };
+    LONGS_EQUAL(0, shareOfFresh());
+    fixture.advanceTo(fixture.now + 5001_ms);
+    CHECK(shareOfFresh() > 0);
+}
+
+// Guards against a second attempt of a command that may have run.
+TEST(CoordinatorMechanisms, CommandRunsAgainOnlyAfterCertainlyNotRun)
+{
+    fixture.coordinator.startCommand(makeCommand(), fixture.now);
+    fixture.give(fixture.takeParts().at(0), PartStatus::ConnectFailed);
+    auto const second = fixture.takeParts().at(0);
+    CHECK(second.idempotence == Idempotence::NonIdempotent);
+    fixture.give(second, PartStatus::ConnectionLost);
+    LONGS_EQUAL(0, fixture.parts.size());
+    CHECK(fixture.verdicts.at(0).outcome == Outcome::Unknown);
+    fixture.coordinator.startCommand(makeCommand(), fixture.now);
+    fixture.give(fixture.takeParts().at(0));
+    CHECK(fixture.verdicts.at(1).outcome == Outcome::Ran);
+}
+
+// Guards against "not run" for a command whose attempt is still out at the deadline.
+TEST(CoordinatorMechanisms, CommandWithoutResultIsUnknown)
+{
+    fixture.coordinator.startCommand(makeCommand(), fixture.now);
+    fixture.advanceTo(fixture.now + 200_ms);
+    CHECK(fixture.verdicts.at(0).outcome == Outcome::Unknown);
+    LONGS_EQUAL(0, fixture.coordinator.running());
+}
+
+// Guards against a quantile that still follows latencies of long ago.
+TEST(CoordinatorMechanisms, LatencyHistogramAges)
+{
+    LatencyHistogram histogram;
+    for (int index = 0; index < 100; ++index)
+        histogram.add(100_ms, 10000_ms);
+    CHECK(histogram.quantile(0.95, 10000_ms).value() > 90_ms);
+    for (int index = 0; index < 100; ++index)
+        histogram.add(2_ms, 21000_ms);
+    CHECK(histogram.quantile(0.95, 21000_ms).value() < 3_ms);
+}
