Test the carrier

Cause: slot limit, priority, early refusal, draining and at-most-once sends had no tests. Change: tests of each, of cancels, polls and the mapping of target answers to part states.

--- /dev/null
+++ b/Tests/Engine/TestCarrier.cpp
@@ -0,0 +1,242 @@
+#include "EngineFixtures.h"
+
+#include "Engine/Carrier.h"
+
+#include "CppUTest/TestHarness.h"
+
+using namespace Toucan;
+
+TEST_GROUP(Carrier)
+{
+    TestConfiguration configuration { 1 };
+    std::vector<TargetCall> calls;
+    std::vector<AttemptId> cancelled;
+    std::vector<PartResult> results;
+    std::vector<std::string> polls;
+    Milliseconds now { 1000 };
+    Carrier carrier { { [this](TargetCall const& call) { calls.push_back(call); },
+                          [this](AttemptId const& attempt, std::string const&) { cancelled.push_back(attempt); },
+                          [this](std::string const&, PartResult&& result) { results.push_back(std::move(result)); },
+                          [this](std::string const& target, std::string const&) { polls.push_back(target); },
+                          [] { return 0.5; } },
+        "n1" };
+
+    void setup() override { carrier.setConfiguration(configuration.pointer(), now); }
+
+    void submit(AttemptId const& attempt, uint32_t classIndex = 1, Milliseconds remaining = 50_ms,
+        Idempotence idempotence = Idempotence::Idempotent)
+    {
+        PartRequest part;
+        part.attempt = attempt;
+        part.requestId = "r";
+        part.service = "s";
+        part.target = "a";
+        part.snapshot = "s1";
+        part.classIndex = classIndex;
+        part.remaining = remaining;
+        part.idempotence = idempotence;
+        carrier.submit("n1", std::move(part), now);
+    }
+    TargetAnswer makeAnswer(AttemptId const& attempt, int status = 200)
+    {
+        TargetAnswer answer;
+        answer.attempt = attempt;
+        answer.target = "a";
+        answer.status = status;
+        if (status == 200) {
+            answer.body["attempt"] = attempt;
+            answer.body["requestId"] = "r";
+            answer.body["snapshot"] = "s1";
+            answer.body["shard"] = 0;
+            answer.body["complete"] = true;
+            answer.body["hits"] = Json::Value(Json::arrayValue);
+        }
+        return answer;
+    }
+    void answer(AttemptId const& attempt, int status = 200)
+    {
+        carrier.onTargetAnswer(makeAnswer(attempt, status), now);
+    }
+    void shed(AttemptId const& attempt)
+    {
+        auto shed = makeAnswer(attempt, 503);
+        shed.startedDenied = true;
+        carrier.onTargetAnswer(std::move(shed), now);
+    }
+};
+
+// Guards against more calls than slots in a burst.
+TEST(Carrier, SlotLimitHoldsInABurst)
+{
+    for (int index = 0; index < 10; ++index)
+        submit("p" + std::to_string(index));
+    LONGS_EQUAL(2, calls.size());
+    answer("p0");
+    LONGS_EQUAL(3, calls.size());
+    STRCMP_EQUAL("p2", calls[2].part.attempt.c_str());
+    LONGS_EQUAL(9, carrier.running());
+}
+
+// Shows that the slot limit is what bounds the calls.
+TEST(Carrier, WithoutLimitsAllAreSent)
+{
+    configuration.rule().limits = Feature::Off;
+    carrier.setConfiguration(configuration.pointer(), now);
+    for (int index = 0; index < 100; ++index)
+        submit("p" + std::to_string(index));
+    LONGS_EQUAL(100, calls.size());
+}
+
+// Guards against a lowest class that takes all slots, and against an urgent part behind a less urgent one.
+TEST(Carrier, StrictPriorityKeepsASlotFromTheLowestClass)
+{
+    submit("b1", 2);
+    submit("b2", 2);
+    LONGS_EQUAL(1, calls.size());
+    submit("i1", 1);
+    LONGS_EQUAL(2, calls.size());
+    submit("i2", 1);
+    submit("u1", 0);
+    answer("i1");
+    STRCMP_EQUAL("u1", calls.at(2).part.attempt.c_str());
+}
+
+// Guards against a queue without bound, and against a full queue that refuses urgent parts for background ones.
+TEST(Carrier, FullQueueDropsTheLowestClassFirst)
+{
+    configuration.rule().queueLimit = 2;
+    carrier.setConfiguration(configuration.pointer(), now);
+    submit("i1");
+    submit("i2");
+    submit("b1", 2);
+    submit("i3");
+    submit("i4");
+    STRCMP_EQUAL("b1", results.at(0).attempt.c_str());
+    CHECK(results[0].status == PartStatus::Refused);
+    submit("i5");
+    STRCMP_EQUAL("i5", results.at(1).attempt.c_str());
+}
+
+// Guards against work that waits although its deadline cannot be met, and against a send after the deadline.
+TEST(Carrier, RefusesEarlyAndNeverSendsExpiredParts)
+{
+    submit("warm");
+    now += 20_ms;
+    answer("warm");
+    for (int index = 0; index < 5; ++index)
+        submit("p" + std::to_string(index));
+    submit("late", 1, 25_ms);
+    STRCMP_EQUAL("late", results.at(1).attempt.c_str());
+    CHECK(results[1].status == PartStatus::Refused);
+    now += 50_ms;
+    carrier.advance(now);
+    LONGS_EQUAL(5, results.size());
+    CHECK(results[2].status == PartStatus::ExpiredInQueue);
+    LONGS_EQUAL(3, calls.size());
+}
+
+// Guards against a limit that ignores shed answers, that falls to zero, or that never grows back.
+TEST(Carrier, SlotLimitFollowsShedAnswers)
+{
+    submit("p0");
+    submit("p1");
+    shed("p0");
+    shed("p1");
+    CHECK(results.at(0).status == PartStatus::Shed);
+    LONGS_EQUAL(1, carrier.describe(now)["targets"]["a"]["slots"].asUInt());
+    submit("blocked");
+    LONGS_EQUAL(2, calls.size());
+    now += 20_ms;
+    carrier.advance(now);
+    LONGS_EQUAL(3, calls.size());
+    answer("blocked");
+    for (int index = 0; index < 100; ++index) {
+        submit("g" + std::to_string(index));
+        answer("g" + std::to_string(index));
+    }
+    LONGS_EQUAL(2, carrier.describe(now)["targets"]["a"]["slots"].asUInt());
+}
+
+// Guards against a cold target that gets a full load.
+TEST(Carrier, StartingTargetGetsOneCallAtATime)
+{
+    carrier.onTargetStatus("a", TargetState::Starting, {}, now);
+    submit("p0");
+    submit("p1");
+    LONGS_EQUAL(1, calls.size());
+}
+
+// Guards against a second send of a command whose message was duplicated.
+TEST(Carrier, SendsACommandAttemptOnce)
+{
+    submit("c1", 1, 50_ms, Idempotence::NonIdempotent);
+    submit("c1", 1, 50_ms, Idempotence::NonIdempotent);
+    answer("c1");
+    submit("c1", 1, 50_ms, Idempotence::NonIdempotent);
+    LONGS_EQUAL(1, calls.size());
+    LONGS_EQUAL(1, results.size());
+}
+
+// Guards against new work for a draining target, and against a lagging poll that undoes the state.
+TEST(Carrier, DrainingTargetGetsNoNewWork)
+{
+    for (int index = 0; index < 4; ++index)
+        submit("p" + std::to_string(index));
+    auto draining = makeAnswer("p0");
+    draining.state = TargetState::Draining;
+    carrier.onTargetAnswer(std::move(draining), now);
+    LONGS_EQUAL(3, results.size());
+    CHECK(results[1].status == PartStatus::Shed);
+    CHECK(results[1].state == TargetState::Draining);
+    carrier.onTargetStatus("a", TargetState::Serving, {}, now + 100_ms);
+    submit("p4");
+    LONGS_EQUAL(2, calls.size());
+}
+
+// Guards against a cancelled part that is sent, and against a sent one that keeps its target busy.
+TEST(Carrier, CancelsQueuedAndSentParts)
+{
+    submit("p0");
+    submit("p1");
+    submit("p2");
+    carrier.cancel("p2", now);
+    CHECK(results.at(0).status == PartStatus::Cancelled);
+    carrier.cancel("p0", now);
+    STRCMP_EQUAL("p0", cancelled.at(0).c_str());
+    answer("p0", 499);
+    LONGS_EQUAL(2, calls.size());
+}
+
+// Guards against status calls of targets that other nodes carry, and against more than one a second.
+TEST(Carrier, PollsEachCarriedTargetOnceASecond)
+{
+    for (int step = 0; step < 300; ++step) {
+        now += 10_ms;
+        carrier.advance(now);
+    }
+    LONGS_EQUAL(3, polls.size());
+}
+
+// Guards against a truncated, foreign or failed answer that counts as a part.
+TEST(Carrier, MapsAnswersToStatus)
+{
+    auto const expect = [&](TargetAnswer&& answer, PartStatus status) {
+        submit("p");
+        now += 100_ms;
+        carrier.onTargetAnswer(std::move(answer), now);
+        CHECK(results.back().status == status);
+    };
+    expect(makeAnswer("p"), PartStatus::Complete);
+    auto truncated = makeAnswer("p");
+    truncated.body["complete"] = false;
+    expect(std::move(truncated), PartStatus::Truncated);
+    auto crossed = makeAnswer("p");
+    crossed.body["attempt"] = "other";
+    expect(std::move(crossed), PartStatus::Mismatch);
+    expect(makeAnswer("p", 410), PartStatus::SnapshotGone);
+    expect(makeAnswer("p", 503), PartStatus::TargetError);
+    expect(makeAnswer("p", 504), PartStatus::DeadlineExceeded);
+    auto broken = makeAnswer("p", 0);
+    broken.transport = TargetAnswer::Transport::Broken;
+    expect(std::move(broken), PartStatus::ConnectionLost);
+}
