--- a/Libraries/Engine/CoordinatorState.cpp
+++ b/Libraries/Engine/CoordinatorState.cpp
@@ -59,7 +59,7 @@
     auto const elapsed = now - pending.sent;
     auto& known = this->evidence.of(pending.target);
     known.removeSent();
-    known.addLowerBound(elapsed);
+    known.addLowerBound(elapsed, now);
     // Without the losers the histogram would show only the fast parts, and hedges would come too early.
     if (auto& latency = this->statisticsOf(pending.service).partLatency;
         elapsed > this->medianLatency(pending.service, now))
@@ -126,7 +126,7 @@
     known.setState(result.state, now);
     known.setLoad(result.load, result.carrierQueue, now);
     if (status == PartStatus::Complete) {
-        known.addSuccess(result.service);
+        known.addSuccess(result.service, now);
         statistics.partLatency.add(now - attempt.sent, now);
     } else if (isFailure(status) && !isLossOfCarrier(result)) {
         known.addFailure();
--- a/Libraries/Engine/TargetEvidence.cpp
+++ b/Libraries/Engine/TargetEvidence.cpp
@@ -1,10 +1,12 @@
 #include "Engine/TargetEvidence.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace Toucan {
 
 static constexpr double smoothing = 0.1;
+static constexpr Milliseconds latencyHalfLife { 1000 };
 /// Reports older than this say nothing about the present queue.
 static constexpr Milliseconds loadLifetime { 1000 };
 /// A lagging report of "serving" within this time does not undo "draining".
@@ -24,25 +26,26 @@
         --this->inFlight;
 }
 
-void TargetEvidence::addSuccess(Milliseconds latency)
+void TargetEvidence::addSuccess(Milliseconds latency, Milliseconds now)
 {
     this->failures = 0;
     ++this->answers;
-    this->smooth(latency);
+    this->smooth(latency, now);
     if (++this->successes >= recoverySuccesses)
         this->ejection = {};
 }
 
-void TargetEvidence::addLowerBound(Milliseconds elapsed)
+void TargetEvidence::addLowerBound(Milliseconds elapsed, Milliseconds now)
 {
     if (elapsed < this->latency)
         return;
     ++this->answers;
-    this->smooth(elapsed);
+    this->smooth(elapsed, now);
 }
 
-void TargetEvidence::smooth(Milliseconds sample)
+void TargetEvidence::smooth(Milliseconds sample, Milliseconds now)
 {
+    this->lastSample = now;
     if (this->latency == Milliseconds {})
         this->latency = sample;
     else
@@ -99,7 +102,10 @@
 {
     auto const fresh = now - this->loadTime < loadLifetime;
     auto const queued = fresh ? this->load.queued + this->carrierQueue : 0;
-    auto const expected = this->latency == Milliseconds {} ? fallbackLatency : this->latency;
+    // A target that was slow once would never be tried again if its latency did not fade.
+    auto const age = std::max(0.0, (now - this->lastSample).value);
+    auto const faded = this->latency * std::exp2(-age / latencyHalfLife.value);
+    auto const expected = this->latency == Milliseconds {} ? fallbackLatency : faded;
     auto const work = (this->inFlight + queued + 1.0) / std::max(1U, slots);
     return work * expected.value * this->slowStartFactor(now);
 }
--- a/Libraries/Engine/TargetEvidence.h
+++ b/Libraries/Engine/TargetEvidence.h
@@ -10,9 +10,9 @@
     void addSent() { ++this->inFlight; }
     void removeSent();
     /// `latency` is the time at the target.
-    void addSuccess(Milliseconds latency);
+    void addSuccess(Milliseconds latency, Milliseconds now);
     /// Records that an unfinished attempt took at least `elapsed`.
-    void addLowerBound(Milliseconds elapsed);
+    void addLowerBound(Milliseconds elapsed, Milliseconds now);
     void addFailure() { ++this->failures; }
     void setState(TargetState next, Milliseconds now);
     void setLoad(TargetLoad const& reported, uint32_t queuedAtCarrier, Milliseconds now);
@@ -35,7 +35,7 @@
     Json::Value describe(Milliseconds now) const;
 
 private:
-    void smooth(Milliseconds sample);
+    void smooth(Milliseconds sample, Milliseconds now);
     double slowStartFactor(Milliseconds now) const;
 
     uint32_t inFlight { 0 };
@@ -43,6 +43,7 @@
     uint32_t successes { 0 };
     uint32_t answers { 0 };
     Milliseconds latency;
+    Milliseconds lastSample;
     TargetLoad load;
     uint32_t carrierQueue { 0 };
     Milliseconds loadTime { -1e12 };
--- a/Tests/Engine/TestCoordinatorMechanisms.cpp
+++ b/Tests/Engine/TestCoordinatorMechanisms.cpp
@@ -1,6 +1,7 @@
 #include "CoordinatorFixture.h"
 
 #include "Engine/LatencyHistogram.h"
+#include "Engine/TargetEvidence.h"
 
 #include "CppUTest/TestHarness.h"
 
@@ -245,3 +246,15 @@
         histogram.add(2_ms, 21000_ms);
     CHECK(histogram.quantile(0.95, 21000_ms).value() < 3_ms);
 }
+
+// Guards against a replica that was slow once and is never tried again.
+TEST(CoordinatorMechanisms, SlowLatencyFades)
+{
+    TargetEvidence slow;
+    TargetEvidence fast;
+    slow.addSuccess(100_ms, 0_ms);
+    fast.addSuccess(4_ms, 0_ms);
+    CHECK(slow.cost(2, 1_ms, 0_ms) > fast.cost(2, 1_ms, 0_ms));
+    fast.addSuccess(4_ms, 6000_ms);
+    CHECK(slow.cost(2, 1_ms, 6000_ms) < fast.cost(2, 1_ms, 6000_ms));
+}
