Wait for key range owners before a new node is ready

Cause: in the first 700 ms of a fleet no key range has an owner, and a command sent then ends as unknown. Change: readiness waits up to 3 s until every key range has a record.

--- a/Libraries/Engine/NodeCore.cpp
+++ b/Libraries/Engine/NodeCore.cpp
@@ -11,6 +11,8 @@
 
 /// Pause between reads of the ownership table and the VM list until the first success.
 static constexpr auto firstReadPause = 500_ms;
+/// A new node waits this long for an owner of every key range before it is ready without, as in a store outage.
+static constexpr auto ownershipWait = 3'000_ms;
 static constexpr auto vmListPeriod = 2'000_ms;
 /// Time after the announcement of leaving in which peers may still send parts.
 static constexpr auto leavingGrace = 1'000_ms;
@@ -64,6 +66,8 @@
 
 void NodeCore::install(ConfigurationPointer const& configuration)
 {
+    if (!this->configuredSince)
+        this->configuredSince = this->currentTime;
     this->partRouter.setConfiguration(configuration);
     this->carrier.setConfiguration(configuration, this->currentTime);
     this->coordinator.setConfiguration(configuration, this->currentTime);
--- a/Libraries/Engine/NodeCore.h
+++ b/Libraries/Engine/NodeCore.h
@@ -77,11 +77,14 @@
     void dispatchFrame(std::string const& kind, std::string const& from, Json::Value const& frame, Milliseconds now);
     void onVmList(std::vector<VmEntry> const& vms, Milliseconds now);
     void noteLeavingTarget(std::string const& target);
+    /// False for a short time after the start, while key ranges have no known owner and commands would not be decided.
+    bool ownersKnown(Milliseconds now) const;
     Peer selfAsPeer() const;
     void readPlatform(Milliseconds now);
     void request(StoreRequest::Kind kind);
 
     bool watching { false };
+    std::optional<Milliseconds> configuredSince;
     bool ownershipRead { false };
     bool vmListRead { false };
     Milliseconds nextOwnershipRead;
