--- a/Libraries/Node/Node.cpp
+++ b/Libraries/Node/Node.cpp
@@ -14,7 +14,7 @@
 Node::Node(NodeOptions const& options)
     : options(options)
     , incarnation(static_cast<uint64_t>(Clock::wallClock().value))
-    , engineThread(options, options.peerListen, this->incarnation)
+    , engineThread(options, options.peerAdvertise, this->incarnation)
     , networkThread(options, this->incarnation, this->engineThread)
     , adminServer(options.adminListen, this->engineThread,
           { [this] { return !this->stopping && this->engineThread.ready(); },
--- a/Libraries/Node/NodeOptions.h
+++ b/Libraries/Node/NodeOptions.h
@@ -14,6 +14,8 @@
     std::string failureDomain;
     std::string callerListen;
     std::string peerListen;
+    /// Address under which peers reach peerListen; the same unless something stands between.
+    std::string peerAdvertise;
     std::string adminListen;
     std::string store;
     std::string vmList;
--- a/Libraries/Node/NodeSettings.cpp
+++ b/Libraries/Node/NodeSettings.cpp
@@ -106,6 +106,7 @@
     options.failureDomain = readName(reader, "failureDomain");
     options.callerListen = readAddress(reader, "callerListen");
     options.peerListen = readAddress(reader, "peerListen");
+    options.peerAdvertise = reader.has("peerAdvertise") ? readAddress(reader, "peerAdvertise") : options.peerListen;
     options.adminListen = readAddress(reader, "adminListen");
     options.store = readAddress(reader, "store");
     options.vmList = readAddress(reader, "vmList");
