--- a/Tests/Integration/promise_fleet.py
+++ b/Tests/Integration/promise_fleet.py
@@ -58,14 +58,20 @@
         self.shard_counts.update(check_history.snapshot_shards(self.configuration))
         return super().write_configuration()
 
-    def add_snapshot(self, service, snapshot, sequence, shard_count):
-        """Repartitions a service: `shard_count` shards on two targets each, held by the targets at once."""
+    def set_snapshot(self, service, snapshot, sequence, shard_count):
+        """Adds a snapshot whose shards lie on two targets each, so that a target may hold two shards."""
         names = self.targets_of(service)
         shards = [[names[shard % len(names)], names[(shard + 1) % len(names)]] for shard in range(shard_count)]
         snapshots = self.configuration["services"][service]["snapshots"]
         snapshots[snapshot] = {"sequence": sequence, "shards": shards}
         for name in names:
-            self.target_control(name, snapshots=held_shards(snapshots, name))
+            self.target_settings[name]["snapshots"] = held_shards(snapshots, name)
+
+    def add_snapshot(self, service, snapshot, sequence, shard_count):
+        """Repartitions a service while its targets run; apply() makes it known to the nodes."""
+        self.set_snapshot(service, snapshot, sequence, shard_count)
+        for name in self.targets_of(service):
+            self.target_control(name, snapshots=self.target_settings[name]["snapshots"])
 
     def drop_snapshot(self, service, snapshot):
         """Takes a snapshot from all targets of a service; the configuration still has it."""
@@ -113,10 +119,14 @@
         """The lines of the callers that got a 200."""
         return [line for line in self.callers() if line["status"] == 200 and line["kind"] == kind]
 
+    def target_lines(self):
+        """All lines of the targets' history; complete once the fleet has ended."""
+        return check_history.read_lines([self.fleet.target_history])
+
     def breaches(self):
         """Ends the fleet and returns the breaches that the checker sees."""
         self.fleet.stop()
-        targets = check_history.read_lines([self.fleet.target_history])
+        targets = self.target_lines()
         self.assertTrue(targets, "the targets have no history")
         self.assertTrue(self.callers(), "the callers have no history")
         return check_history.check(self.callers(), targets, self.fleet.shard_counts)
