--- a/Libraries/Engine/NodeCore.cpp
+++ b/Libraries/Engine/NodeCore.cpp
@@ -386,7 +386,18 @@
         && this->carrier.running() == 0 && this->commandRouter.running() == 0 && this->keyOwner.ownsNothing();
 }
 
-bool NodeCore::ready(Milliseconds now) const { return !this->stopping && this->configurationState.ready(now); }
+bool NodeCore::ready(Milliseconds now) const
+{
+    return !this->stopping && this->configurationState.ready(now) && this->ownersKnown(now);
+}
+
+bool NodeCore::ownersKnown(Milliseconds now) const
+{
+    if (this->configuredSince && now - *this->configuredSince > ownershipWait)
+        return true;
+    auto const& configuration = this->configurationState.current();
+    return configuration && this->keyOwner.records().size() >= configuration->fleet.keyRanges;
+}
 
 void NodeCore::advance(Milliseconds now)
 {
