Test P4, P5 and P6 with duplicates, overload, store faults and lost owners

Nothing showed with real processes that "not run" is true, that a key runs once when its owner is paused for more than 30 s or killed, or that leaving targets get no new work. Proxied peers get peerAdvertise, which the settings have by now.

--- a/Scripts/toucanfleet.py
+++ b/Scripts/toucanfleet.py
@@ -287,8 +287,8 @@
             settings = {"name": name, "failureDomain": self.node_domains[name], "callerListen": addresses.caller,
                         "peerListen": addresses.peer, "adminListen": addresses.admin, "store": self.store,
                         "vmList": self.platform, "peers": peers, "stop": {"balancerLagMs": 2000, "drainMs": 10000}}
-            # FIXME: a node's settings have no address to advertise, so with proxied peers a node that tells its own
-            # peerListen to others shows them a way around the proxy.
+            if "peers" in self.proxied:
+                settings["peerAdvertise"] = self.peer_addresses[name]
             write_json(self.folder / f"{name}.json", settings)
 
     # Processes
--- a/Tests/Integration/promise_fleet.py
+++ b/Tests/Integration/promise_fleet.py
@@ -1,18 +1,22 @@
 """What the tests of the promises share: a small fleet, bounded load by tg-load, and the verdict of the checker."""
 
+import collections
 import contextlib
+import dataclasses
+import http.client
 import json
 import pathlib
-import subprocess
+import shutil
 import sys
 import tempfile
+import threading
 import time
 import unittest
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[2] / "Scripts"))
 
 import check_history  # noqa: E402  (the path is set above)
-from toucanfleet import Fleet, held_shards, write_json  # noqa: E402
+from toucanfleet import Fleet, call, checked, held_shards, uuid7, write_json  # noqa: E402
 
 QUERIED = "warehouse-packing"
 COMMANDED = "recipe-catalogue"
@@ -51,7 +55,10 @@
         super().write_settings()
         for name in self.nodes:
             path = self.folder / f"{name}.json"
-            write_json(path, json.loads(path.read_text(encoding="utf-8")) | {"stop": self.stop_settings})
+            changes = {"stop": self.stop_settings}
+            if f"store-{name}" in self.routes:
+                changes["store"] = changes["vmList"] = self.routes[f"store-{name}"][0]
+            write_json(path, json.loads(path.read_text(encoding="utf-8")) | changes)
 
     def write_configuration(self):
         """Writes the configuration and remembers the shard counts of all snapshots that ever were in it."""
@@ -81,6 +88,99 @@
             self.target_control(name, snapshots=held_shards(snapshots, name))
 
 
+    def give_own_store_route(self, node):
+        """Lets one node reach the platform by a route of its own, which is named "store-NODE"; before the start."""
+        self.routes[f"store-{node}"] = (self.ports.address(), self.platform)
+
+    def copy_configuration(self, name):
+        """A copy of the configuration folder for another operator; returns its path."""
+        return pathlib.Path(shutil.copytree(self.write_configuration(), self.folder / name))
+
+    def platform_control(self, **faults):
+        """Sets the faults of the store; see PlatformStandIn::control()."""
+        return checked(call(self.platform, "POST", "/control", faults))
+
+    def serving_version(self, node):
+        """Version in force on a node while it is ready; None when it is not ready or does not answer."""
+        try:
+            version = self.configuration_version(node)["version"]
+            return version if self.ready(node) else None
+        except (OSError, http.client.HTTPException, KeyError, TypeError):
+            return None
+
+
+@dataclasses.dataclass
+class Acceptance:
+    """Time at which a version was accepted, or at which a node that had been paused went on."""
+
+    time: float
+    version: int
+    node: str = ""
+
+
+class VersionWatch:
+    """Polls the versions in force on all nodes in a thread of its own, until it is closed."""
+
+    bound_s = 3.0
+    period_s = 0.05
+
+    def __init__(self, fleet):
+        self.fleet = fleet
+        self.accepted = []
+        self.resumed = {}
+        self.seen = {name: [] for name in fleet.nodes}
+        self.ended = threading.Event()
+        self.threads = [threading.Thread(target=self.watch, args=(name,)) for name in fleet.nodes]
+        for thread in self.threads:
+            thread.start()
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_):
+        self.ended.set()
+        for thread in self.threads:
+            thread.join()
+
+    def watch(self, name):
+        """Notes the time before each poll, so that a slow answer is not taken for a late version."""
+        while not self.ended.wait(self.period_s):
+            moment = time.monotonic()
+            version = self.fleet.serving_version(name)
+            if version is not None:
+                self.seen[name].append((moment, version))
+
+    def note_accepted(self, version):
+        """Tells the watch that a version has been accepted at this moment."""
+        self.accepted.append(Acceptance(time.monotonic(), version))
+
+    def note_resumed(self, name):
+        """Tells the watch that a paused node goes on; the bound counts anew for it, as it could not learn anything."""
+        self.resumed[name] = time.monotonic()
+
+    def breaches(self):
+        """P8: versions never go back, and each is in force on every ready node within the bound."""
+        for name, observations in self.seen.items():
+            highest = 0
+            for moment, version in observations:
+                if version < highest:
+                    yield f"P8 node {name} went back from version {highest} to {version}"
+                highest = max(highest, version)
+                if moment < self.resumed.get(name, 0) + self.bound_s and name in self.resumed:
+                    continue
+                late = [entry for entry in self.accepted
+                        if entry.version > version and moment > entry.time + self.bound_s]
+                if late:
+                    yield f"P8 node {name} has version {version} {moment - late[0].time:.1f} s after {late[0].version}"
+
+
+def check_uncut(callers):
+    """P7: each request has a whole HTTP answer, and each query is answered with 200."""
+    for line in callers:
+        if line["status"] == 0 or line["kind"] == "query" and line["status"] != 200:
+            yield f"P7 {line['kind']} {line['requestId']} at {line['node']}: {line['status']} {line['failure']}"
+
+
 class PromiseTest(unittest.TestCase):
     """Starts one fleet per test and collects its histories."""
 
@@ -91,6 +191,7 @@
         self.fleet = PromiseFleet(folder.name, **arguments)
         self.addCleanup(self.fleet.stop)
         self.histories = []
+        self.sent = []
         return self.fleet
 
     @contextlib.contextmanager
@@ -111,9 +212,26 @@
         process.wait(seconds + timeout_ms / 1000 + 20)
         self.assertEqual(process.returncode, 0, self.fleet.log_tail(f"load-{len(self.histories)}"))
 
+    def send_command(self, node, key, timeout_s=5):
+        """Sends one command with a given key and adds it to the callers' history; returns its line."""
+        line = {"time": int(time.time() * 1000), "kind": "command", "requestId": uuid7(), "requestKey": key,
+                "service": COMMANDED, "node": node, "status": 0, "failure": "broken", "outcome": "unknown"}
+        try:
+            answer = self.fleet.command(node, COMMANDED, key, key, request_id=line["requestId"], timeout_s=timeout_s)
+            body = answer.body or {}
+            hits = body.get("hits", [])
+            line.update(status=answer.status, failure="none", outcome=body.get("outcome", "unknown"),
+                        answeredRequestId=body.get("requestId"), snapshot=body.get("snapshot"),
+                        hits=[hit["id"] for hit in hits], hitRequestIds=[],
+                        hitRequestKeys=[hit["requestKey"] for hit in hits])
+        except (OSError, http.client.HTTPException):
+            pass
+        self.sent.append(line)
+        return line
+
     def callers(self):
         """All lines of the callers' histories."""
-        return check_history.read_lines(self.histories)
+        return check_history.read_lines(self.histories) + self.sent
 
     def answered(self, kind="query"):
         """The lines of the callers that got a 200."""
@@ -123,6 +241,10 @@
         """All lines of the targets' history; complete once the fleet has ended."""
         return check_history.read_lines([self.fleet.target_history])
 
+    def outcomes(self, kind):
+        """Count of the callers' lines of a kind by outcome."""
+        return collections.Counter(line["outcome"] for line in self.callers() if line["kind"] == kind)
+
     def breaches(self):
         """Ends the fleet and returns the breaches that the checker sees."""
         self.fleet.stop()
