--- a/Libraries/Net/FrameSession.cpp
+++ b/Libraries/Net/FrameSession.cpp
@@ -85,6 +85,7 @@
     auto const length = writeLength(text.size());
     this->channel->write({ length.data(), length.size() });
     this->channel->write(text);
+    this->bytes += lengthBytes + text.size();
     return true;
 }
 
--- a/Libraries/Net/FrameSession.h
+++ b/Libraries/Net/FrameSession.h
@@ -47,6 +47,8 @@
     bool isClosed() const { return this->channel->isClosed(); }
     bool isConnected() const { return this->channel->isConnected(); }
     size_t unsent() const { return this->channel->unsent(); }
+    /// Bytes of all frames that send() took, with their length fields.
+    uint64_t bytesSent() const { return this->bytes; }
 
 private:
     FrameSession(EventLoop& loop, FrameLimits limits, Hooks hooks);
@@ -61,6 +63,7 @@
     std::shared_ptr<Hooks> hooks;
     std::shared_ptr<SocketChannel> channel;
     size_t inputOffset { 0 };
+    uint64_t bytes { 0 };
     bool overflowed { false };
 };
 
--- a/Libraries/Node/NetworkThread.cpp
+++ b/Libraries/Node/NetworkThread.cpp
@@ -143,6 +143,8 @@
     this->framesReceived = this->peers.counters().framesReceived;
     this->framesDropped = this->peers.counters().framesDropped;
     this->peerConnectionsLost = this->peers.counters().connectionsLost;
+    for (size_t index = 0; index < countedFrameKinds.size(); ++index)
+        this->bytesSent[index] = this->peers.counters().bytesSent[index];
     this->targetCalls = this->targets.counters().calls;
     this->targetCancels = this->targets.counters().cancels;
     this->targetPolls = this->targets.counters().polls;
@@ -152,7 +154,7 @@
 std::map<std::string, double> NetworkThread::metrics() const
 {
     auto const value = [](auto const& counter) { return static_cast<double>(counter.load()); };
-    return {
+    std::map<std::string, double> result {
         { "toucan_caller_connections", value(this->callerConnections) },
         { "toucan_caller_requests_running", value(this->callerRequests) },
         { "toucan_caller_requests_total", value(this->requestsReceived) },
@@ -169,6 +171,11 @@
         { "toucan_engine_events_waiting", static_cast<double>(this->engine.waitingEvents()) },
         { "toucan_network_tasks_waiting", static_cast<double>(this->engine.waitingTasks()) },
     };
+    for (size_t index = 0; index < countedFrameKinds.size(); ++index) {
+        auto const name = "toucan_frame_bytes_sent_" + std::string(countedFrameKinds[index]) + "_total";
+        result[name] = value(this->bytesSent[index]);
+    }
+    return result;
 }
 
 void NetworkThread::join()
--- a/Libraries/Node/NetworkThread.h
+++ b/Libraries/Node/NetworkThread.h
@@ -7,6 +7,7 @@
 #include "Node/TargetClient.h"
 #include "Node/ThreadMessages.h"
 
+#include <array>
 #include <atomic>
 #include <cstdint>
 #include <deque>
@@ -87,6 +88,7 @@
     std::atomic<uint64_t> targetCancels { 0 };
     std::atomic<uint64_t> targetPolls { 0 };
     std::atomic<uint64_t> targetSideCallsDropped { 0 };
+    std::array<std::atomic<uint64_t>, countedFrameKinds.size()> bytesSent {};
     std::atomic<uint64_t> readingPauses { 0 };
     CallerServer callers;
     PeerLinks peers;
--- a/Libraries/Node/PeerLinks.cpp
+++ b/Libraries/Node/PeerLinks.cpp
@@ -2,6 +2,7 @@
 
 #include <Poco/Exception.h>
 #include <Poco/Net/SocketAddress.h>
+#include <algorithm>
 #include <glog/logging.h>
 #include <utility>
 
@@ -44,10 +45,20 @@
         this->reportBroken(peer);
         return;
     }
-    if (link.session->send(frame))
+    auto const bytesBefore = link.session->bytesSent();
+    if (link.session->send(frame)) {
         ++this->totals.framesSent;
-    else
+        this->countBytes(frame, link.session->bytesSent() - bytesBefore);
+    } else {
         ++this->totals.framesDropped;
+    }
+}
+
+void PeerLinks::countBytes(Json::Value const& frame, uint64_t bytes)
+{
+    auto const kind = frame["kind"].isString() ? frame["kind"].asString() : std::string();
+    auto const found = std::find(countedFrameKinds.begin(), countedFrameKinds.end() - 1, kind);
+    this->totals.bytesSent[static_cast<size_t>(found - countedFrameKinds.begin())] += bytes;
 }
 
 bool PeerLinks::dial(std::string const& peer, Outgoing& link)
--- a/Libraries/Node/PeerLinks.h
+++ b/Libraries/Node/PeerLinks.h
@@ -3,15 +3,21 @@
 #include "Net/FrameSession.h"
 #include "Net/TcpListener.h"
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <json/value.h>
 #include <map>
 #include <set>
 #include <string>
+#include <string_view>
 
 namespace Toucan {
 
+/// Kinds of frames whose sent bytes are counted; all other kinds are counted under the last name.
+constexpr std::array<std::string_view, 11> countedFrameKinds { "digest", "fetch", "fetched", "probe", "probed", "parts",
+    "results", "cancel", "command", "commandResult", "other" };
+
 /// Frame connections between nodes: one that this node dials for each peer, which carries its frames, and those that
 /// peers dial.
 class PeerLinks {
@@ -26,6 +32,8 @@
         uint64_t framesReceived { 0 };
         uint64_t framesDropped { 0 };
         uint64_t connectionsLost { 0 };
+        /// Bytes with length fields, in the order of countedFrameKinds.
+        std::array<uint64_t, countedFrameKinds.size()> bytesSent {};
     };
 
     /// Throws as TcpListener does.
@@ -55,6 +63,7 @@
     };
 
     bool dial(std::string const& peer, Outgoing& link);
+    void countBytes(Json::Value const& frame, uint64_t bytes);
     void onOutgoingEnded(std::string const& peer, FrameSession* session);
     void accept(Poco::Net::StreamSocket const& socket);
     void onFrame(uint64_t number, Json::Value&& frame);
--- /dev/null
+++ b/Programs/tg-bench/main.cpp
@@ -0,0 +1,452 @@
+#include "Base/Json.h"
+#include "Engine/CarrierMap.h"
+#include "Engine/FrameCodec.h"
+#include "EngineFleet.h"
+
+#include <algorithm>
+#include <ctime>
+#include <iostream>
+#include <json/writer.h>
+#include <malloc.h>
+#include <map>
+#include <tclap/CmdLine.h>
+#include <utility>
+
+using namespace Toucan;
+
+static constexpr int rounds = 2000;
+static constexpr int installs = 5;
+static constexpr int queries = 50;
+static constexpr uint32_t carrierParts = 20'000;
+
+/// CPU time of this process in microseconds.
+static double cpuMicroseconds()
+{
+    timespec time {};
+    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &time);
+    return static_cast<double>(time.tv_sec) * 1e6 + static_cast<double>(time.tv_nsec) / 1e3;
+}
+
+template <typename Work> static double cpuOf(Work const& work)
+{
+    auto const start = cpuMicroseconds();
+    work();
+    return cpuMicroseconds() - start;
+}
+
+/// Bytes of the heap that are in use.
+static size_t heapBytes()
+{
+    auto const info = mallinfo2();
+    return info.uordblks + info.hblkhd;
+}
+
+/// Bytes of a frame on the wire, with its length field.
+static size_t wireBytes(Json::Value const& frame) { return writeJson(frame).size() + 4; }
+
+static std::string withSender(CollectingNode const& sender, Json::Value frame)
+{
+    frame["from"] = sender.core.identity.name;
+    return writeJson(frame);
+}
+
+static void receive(CollectingNode& node, std::string const& text)
+{
+    node.core.onFrame(parseJson(text), node.now);
+    node.core.settle(node.now);
+}
+
+/// Digests and probes between two nodes that know the whole fleet.
+static Json::Value measureControl(FleetSize const& size, ConfigurationUpdate const& update)
+{
+    CollectingNode first(size, 0);
+    CollectingNode second(size, 1);
+    for (auto* node : { &first, &second }) {
+        node->core.configurationState.onUpdate(ConfigurationUpdate(update), node->now);
+        node->core.settle(node->now);
+        node->hearAllPeers(size);
+        node->hearOwners(size);
+    }
+    Json::Value result;
+    std::string digest;
+    result["digestSendMicroseconds"] = cpuOf([&] {
+        for (int round = 0; round < rounds; ++round) {
+            first.core.digestExchange.send(second.core.identity.name, first.now);
+            digest = writeJson(first.frames.back().second);
+            first.frames.clear();
+        }
+    }) / rounds;
+    result["digestBytes"] = static_cast<Json::UInt64>(digest.size() + 4);
+    result["digestReceiveMicroseconds"] = cpuOf([&] {
+        for (int round = 0; round < rounds; ++round)
+            receive(second, digest);
+    }) / rounds;
+    Json::Value probe;
+    probe["kind"] = "probe";
+    probe["number"] = 1000;
+    probe["self"] = parseJson(digest)["self"];
+    auto const probeText = withSender(first, probe);
+    second.frames.clear();
+    std::string answer;
+    result["probeReceiveAndAnswerMicroseconds"] = cpuOf([&] {
+        for (int round = 0; round < rounds; ++round) {
+            receive(second, probeText);
+            answer = writeJson(second.frames.back().second);
+            second.frames.clear();
+        }
+    }) / rounds;
+    result["probeAnswerReceiveMicroseconds"] = cpuOf([&] {
+        for (int round = 0; round < rounds; ++round)
+            receive(first, answer);
+    }) / rounds;
+    result["probeBytes"] = static_cast<Json::UInt64>(probeText.size() + 4);
+    result["probeAnswerBytes"] = static_cast<Json::UInt64>(answer.size() + 4);
+    Milliseconds next;
+    result["nextWakeupMicroseconds"] = cpuOf([&] {
+        for (int round = 0; round < rounds; ++round)
+            next = std::max(next, first.core.nextWakeup());
+    }) / rounds;
+    first.frames.clear();
+    result["advanceMicroseconds"] = cpuOf([&] {
+        for (int round = 0; round < rounds; ++round)
+            first.core.advance(first.now);
+    }) / rounds;
+    return result;
+}
+
+/// Time to install a whole configuration and one changed service part, with the bytes that a peer sends for it.
+static Json::Value measureInstall(FleetSize const& size, Json::Value document, ConfigurationUpdate const& whole)
+{
+    CollectingNode node(size, 0);
+    node.hearAllPeers(size);
+    Json::Value result;
+    auto const heapBefore = heapBytes();
+    result["wholeMicroseconds"] = cpuOf([&] {
+        node.core.configurationState.onUpdate(ConfigurationUpdate(whole), node.now);
+        node.core.settle(node.now);
+    });
+    result["heapBytesOfConfiguration"] = static_cast<Json::UInt64>(heapBytes() - heapBefore);
+    result["wholeFrameBytes"] = static_cast<Json::UInt64>(wireBytes(FrameCodec::encodeUpdate(whole)));
+    std::vector<std::string> known;
+    Json::Value fetch;
+    fetch["kind"] = "fetch";
+    for (auto const& [hash, text] : whole.parts) {
+        known.push_back(hash);
+        fetch["known"].append(hash);
+    }
+    result["fetchFrameBytes"] = static_cast<Json::UInt64>(wireBytes(fetch));
+    result["answerFetchMicroseconds"] = cpuOf([&] {
+        for (int round = 0; round < installs; ++round)
+            writeJson(FrameCodec::encodeUpdate(node.core.configurationState.answerFetch(known)));
+    }) / installs;
+    for (auto const* changed : { "small-1", "large-1" }) {
+        double total = 0;
+        size_t bytes = 0;
+        for (int round = 0; round < installs; ++round) {
+            auto& targets = document["services"][changed]["targets"];
+            targets[targets.getMemberNames().front()]["slots"] = 10 + round;
+            auto update = updateOf(document, node.core.configurationState.version() + 1);
+            for (auto const& hash : known)
+                update.parts.erase(hash);
+            auto const text = writeJson(FrameCodec::encodeUpdate(update));
+            bytes = text.size() + 4;
+            total += cpuOf([&] {
+                node.core.configurationState.onUpdate(FrameCodec::decodeUpdate(parseJson(text)), node.now);
+                node.core.settle(node.now);
+            });
+            for (auto const& [hash, part] : update.parts)
+                known.push_back(hash);
+        }
+        auto& entry = result["changed"][changed];
+        entry["microseconds"] = total / installs;
+        entry["frameBytes"] = static_cast<Json::UInt64>(bytes);
+        entry["installedVersion"] = static_cast<Json::UInt64>(node.core.configurationState.version());
+    }
+    return result;
+}
+
+static Json::Value spread(std::vector<double> values)
+{
+    std::sort(values.begin(), values.end());
+    double sum = 0;
+    for (auto const value : values)
+        sum += value;
+    Json::Value result;
+    result["least"] = values.front();
+    result["mean"] = sum / static_cast<double>(values.size());
+    result["p99"] = values[values.size() * 99 / 100];
+    result["most"] = values.back();
+    return result;
+}
+
+/// How targets and connections are spread over the nodes, and whether the connection limits hold.
+static Json::Value measureCarrierMap(Configuration const& configuration)
+{
+    std::map<std::string, double> carried;
+    std::map<std::string, double> first;
+    std::map<std::string, double> connections;
+    for (auto const& [name, node] : configuration.fleet.nodes)
+        carried[name] = first[name] = connections[name] = 0;
+    uint64_t overLimit = 0;
+    uint64_t shareBelowSlots = 0;
+    auto const cpu = cpuOf([&] {
+        for (auto const& [serviceName, service] : configuration.services) {
+            for (auto const& [targetName, target] : service.targets) {
+                auto const names = carrierCandidates(configuration.fleet, target, "");
+                auto const share = connectionShare(configuration.fleet, target);
+                ++first[names.front()];
+                for (auto const& name : names) {
+                    ++carried[name];
+                    connections[name] += share;
+                }
+                overLimit += share * (names.size() + 1) > target.connections ? 1 : 0;
+                shareBelowSlots += share < target.slots ? 1 : 0;
+            }
+        }
+    });
+    auto const values = [](std::map<std::string, double> const& map) {
+        std::vector<double> list;
+        list.reserve(map.size());
+        for (auto const& [name, value] : map)
+            list.push_back(value);
+        return spread(std::move(list));
+    };
+    Json::Value result;
+    result["milliseconds"] = cpu / 1000;
+    result["targetsPerNode"] = values(carried);
+    result["targetsPerNodeAsFirstCandidate"] = values(first);
+    result["connectionsPerNode"] = values(connections);
+    result["targetsOverConnectionLimit"] = static_cast<Json::UInt64>(overLimit);
+    result["targetsWithShareBelowSlots"] = static_cast<Json::UInt64>(shareBelowSlots);
+    return result;
+}
+
+static Json::Value oneHit(PartRequest const& part)
+{
+    Json::Value hit;
+    hit["id"] = "record-" + std::to_string(part.shard);
+    hit["score"] = 0.5;
+    Json::Value hits(Json::arrayValue);
+    hits.append(std::move(hit));
+    return hits;
+}
+
+static TargetAnswer goodAnswer(PartRequest const& part)
+{
+    TargetAnswer answer;
+    answer.attempt = part.attempt;
+    answer.target = part.target;
+    answer.status = 200;
+    answer.load = { 1, 0, 24 };
+    answer.body["attempt"] = part.attempt;
+    answer.body["requestId"] = part.requestId;
+    answer.body["snapshot"] = part.snapshot;
+    answer.body["shard"] = part.shard;
+    answer.body["complete"] = true;
+    answer.body["hits"] = oneHit(part);
+    return answer;
+}
+
+static std::string resultsFor(std::string const& carrier, Json::Value const& frame)
+{
+    std::vector<PartResult> results;
+    for (auto const& part : FrameCodec::decodeParts(frame)) {
+        PartResult result;
+        result.attempt = part.attempt;
+        result.target = part.target;
+        result.status = PartStatus::Complete;
+        result.requestId = part.requestId;
+        result.snapshot = part.snapshot;
+        result.shard = part.shard;
+        result.hits = oneHit(part);
+        result.service = 4_ms;
+        result.load = { 1, 0, 24 };
+        results.push_back(std::move(result));
+    }
+    auto answer = FrameCodec::encodeResults(results);
+    answer["from"] = carrier;
+    answer["self"] = frame["self"];
+    return writeJson(answer);
+}
+
+static void answerLocalCalls(CollectingNode& node)
+{
+    for (auto const& call : std::exchange(node.calls, {})) {
+        node.core.carrier.onTargetAnswer(goodAnswer(call.part), node.now);
+        node.core.settle(node.now);
+    }
+}
+
+/// Cost of whole queries at the entry node: fan-out, encoding, decoding of results and merge.
+static Json::Value measureEntry(FleetSize const& size, ConfigurationUpdate const& update)
+{
+    CollectingNode node(size, 0);
+    node.core.configurationState.onUpdate(ConfigurationUpdate(update), node.now);
+    node.core.settle(node.now);
+    node.hearAllPeers(size);
+    double sending = 0;
+    double receiving = 0;
+    double frames = 0;
+    double bytesSent = 0;
+    double bytesReceived = 0;
+    for (int round = 0; round < queries + 1; ++round) {
+        CallerRequest request;
+        request.handle = static_cast<RequestHandle>(round) + 1;
+        request.requestId = "request-" + std::to_string(round);
+        request.service = "large-1";
+        request.received = node.now;
+        request.body = std::make_shared<std::string const>(R"({"limit":10,"text":"carrot"})");
+        request.limit = 10;
+        std::vector<std::string> texts;
+        auto const sendCost = cpuOf([&] {
+            node.core.onCallerRequest(std::move(request), node.now);
+            node.core.settle(node.now);
+            for (auto const& [peer, frame] : node.frames)
+                texts.push_back(writeJson(frame));
+        });
+        std::vector<std::string> results;
+        for (auto const& [peer, frame] : std::exchange(node.frames, {}))
+            results.push_back(resultsFor(peer, frame));
+        node.now = node.now + 4_ms;
+        auto const receiveCost = cpuOf([&] {
+            for (auto const& text : results)
+                receive(node, text);
+        });
+        answerLocalCalls(node);
+        node.frames.clear();
+        // The first query also fills the carrier lists.
+        if (round == 0)
+            continue;
+        sending += sendCost;
+        receiving += receiveCost;
+        frames += static_cast<double>(texts.size());
+        for (auto const& text : texts)
+            bytesSent += static_cast<double>(text.size() + 4);
+        for (auto const& text : results)
+            bytesReceived += static_cast<double>(text.size() + 4);
+    }
+    auto const parts = static_cast<double>(queries) * size.targetsPerQuery;
+    Json::Value result;
+    result["sendMicrosecondsPerPart"] = sending / parts;
+    result["receiveMicrosecondsPerPart"] = receiving / parts;
+    result["framesPerQuery"] = frames / queries;
+    result["bytesSentPerPart"] = bytesSent / parts;
+    result["bytesReceivedPerPart"] = bytesReceived / parts;
+    result["wholeAnswers"] = static_cast<Json::UInt64>(node.wholeAnswers);
+    result["answers"] = static_cast<Json::UInt64>(node.answers);
+    return result;
+}
+
+/// Cost of part requests at the carrier, without HTTP: frames with `group` parts each, and their results.
+static Json::Value measureCarrier(FleetSize const& size, ConfigurationUpdate const& update, uint32_t group)
+{
+    CollectingNode node(size, 0);
+    node.core.configurationState.onUpdate(ConfigurationUpdate(update), node.now);
+    node.core.settle(node.now);
+    node.hearAllPeers(size);
+    std::vector<std::pair<std::string, std::string>> carried;
+    auto const configuration = node.core.configurationState.current();
+    for (auto const& [serviceName, service] : configuration->services) {
+        for (auto const& [targetName, target] : service.targets) {
+            if (node.core.partRouter.carries(serviceName, targetName))
+                carried.emplace_back(serviceName, targetName);
+        }
+    }
+    auto const body = std::make_shared<std::string const>(R"({"limit":10,"text":"carrot"})");
+    double cpu = 0;
+    uint32_t answered = 0;
+    size_t resultFrames = 0;
+    Json::Value self;
+    self["name"] = nodeName(1);
+    self["incarnation"] = 1'790'000'000'001;
+    for (uint32_t sent = 0; sent < carrierParts; sent += group) {
+        std::vector<PartRequest> parts;
+        for (uint32_t index = 0; index < group; ++index) {
+            PartRequest part;
+            part.attempt = "entry-2/1790000000001/" + std::to_string(sent + index);
+            part.requestId = "request-" + std::to_string(sent);
+            std::tie(part.service, part.target) = carried[(sent + index) % carried.size()];
+            part.snapshot = "s1";
+            part.classIndex = 1;
+            part.remaining = 59_ms;
+            part.body = body;
+            parts.push_back(std::move(part));
+        }
+        auto frame = FrameCodec::encodeParts(parts);
+        frame["from"] = nodeName(1);
+        frame["self"] = self;
+        auto const text = writeJson(frame);
+        cpu += cpuOf([&] { receive(node, text); });
+        std::vector<TargetAnswer> answers;
+        for (auto const& call : std::exchange(node.calls, {}))
+            answers.push_back(goodAnswer(call.part));
+        node.now = node.now + 1_ms;
+        cpu += cpuOf([&] {
+            for (auto& answer : answers) {
+                node.core.carrier.onTargetAnswer(std::move(answer), node.now);
+                node.core.settle(node.now);
+            }
+            for (auto const& [peer, result] : node.frames)
+                writeJson(result);
+        });
+        answered += static_cast<uint32_t>(answers.size());
+        resultFrames += node.frames.size();
+        node.frames.clear();
+    }
+    Json::Value result;
+    result["partsPerFrame"] = group;
+    result["microsecondsPerPart"] = cpu / carrierParts;
+    result["partsSentToTargets"] = answered;
+    result["resultFrames"] = static_cast<Json::UInt64>(resultFrames);
+    return result;
+}
+
+/// Heap bytes of one node's engine that knows all peers and has the configuration.
+static Json::Value measureMemory(FleetSize const& size, ConfigurationUpdate const& update)
+{
+    auto const before = heapBytes();
+    CollectingNode node(size, 0);
+    node.hearAllPeers(size);
+    auto const withPeers = heapBytes();
+    node.core.configurationState.onUpdate(ConfigurationUpdate(update), node.now);
+    node.core.settle(node.now);
+    Json::Value result;
+    result["heapBytesWithPeers"] = static_cast<Json::UInt64>(withPeers - before);
+    result["heapBytesWithConfiguration"] = static_cast<Json::UInt64>(heapBytes() - before);
+    return result;
+}
+
+/// Measures the engine alone, without I/O, and prints one JSON object. The cost of a frame includes its JSON text.
+int main(int argumentCount, char** arguments)
+{
+    try {
+        TCLAP::CmdLine command("Measures CPU time and memory of one node's engine without I/O", ' ', "1");
+        TCLAP::ValueArg<uint32_t> nodes("", "nodes", "Roster nodes", false, 470, "count", command);
+        TCLAP::ValueArg<uint32_t> targets("", "targets", "Targets of all services", false, 2500, "count", command);
+        TCLAP::ValueArg<uint32_t> perQuery("", "per-query", "Targets per query", false, 770, "count", command);
+        command.parse(argumentCount, arguments);
+        FleetSize const size { nodes.getValue(), targets.getValue(), perQuery.getValue() };
+        auto const document = fleetDocument(size);
+        auto const update = updateOf(document, 1);
+        Json::Value result;
+        result["nodes"] = size.nodes;
+        result["targets"] = size.targets;
+        result["targetsPerQuery"] = size.targetsPerQuery;
+        result["services"] = document["services"].size();
+        result["memory"] = measureMemory(size, update);
+        result["control"] = measureControl(size, update);
+        result["install"] = measureInstall(size, document, update);
+        result["carrierMap"] = measureCarrierMap(*parseDocument(document, 1, "bench"));
+        result["entry"] = measureEntry(size, update);
+        result["carrier"].append(measureCarrier(size, update, 1));
+        result["carrier"].append(measureCarrier(size, update, 8));
+        Json::StreamWriterBuilder builder;
+        builder["indentation"] = "  ";
+        builder["precision"] = 6;
+        std::cout << Json::writeString(builder, result) << '\n';
+        return 0;
+    } catch (std::exception const& error) {
+        std::cerr << error.what() << '\n';
+        return 1;
+    }
+}
--- a/Tests/Node/TestPeerLinks.cpp
+++ b/Tests/Node/TestPeerLinks.cpp
@@ -157,3 +157,19 @@
     LONGS_EQUAL(1, this->second->frames.size());
     LONGS_EQUAL(5, this->second->links.counters().framesDropped);
 }
+
+// Guards against control traffic that is counted under the wrong kind, which would hide a missed bound.
+TEST(PeerLinks, CountsSentBytesByKindOfFrame)
+{
+    auto probe = frameOf("first", 1);
+    auto newer = probe;
+    newer["kind"] = "kind-of-a-newer-version";
+    auto nameless = probe;
+    nameless["kind"] = 7;
+    for (auto const& frame : { probe, newer, nameless })
+        this->first->links.send("second", this->second->address(), frame);
+    auto const& bytes = this->first->links.counters().bytesSent;
+    LONGS_EQUAL(writeJson(probe).size() + 4, bytes[3]);
+    LONGS_EQUAL(writeJson(newer).size() + 4 + writeJson(nameless).size() + 4, bytes.back());
+    STRCMP_EQUAL("probe", countedFrameKinds[3].data());
+}
