Count ranks of claimants only for ranges without a valid record

Cause: KeyOwner::advance() counted for each of 16 ranges how many live nodes come before this one. That walks over the fleet at each wakeup, about 30 times a second, also when another node holds a valid record.

Change: RangeOwnership::Situation::rank is now a function that claim() calls only once the record has lapsed or claims without a record are allowed. The decisions are the same.

--- a/Libraries/Engine/KeyOwner.cpp
+++ b/Libraries/Engine/KeyOwner.cpp
@@ -262,7 +262,7 @@
         RangeOwnership::Situation situation;
         situation.now = now;
         situation.wallClock = this->wallClock;
-        situation.rank = this->rankOf(range);
+        situation.rank = [this, range] { return this->rankOf(range); };
         situation.claimsAllowedSince = this->claimsAllowedSince;
         situation.stopping = this->stopBegan.has_value();
         situation.hasRunningCommands = this->memory.hasRunning(range);
--- a/Libraries/Engine/RangeOwnership.cpp
+++ b/Libraries/Engine/RangeOwnership.cpp
@@ -102,9 +102,16 @@
 
 std::optional<RangeOwnership::Proposal> RangeOwnership::claim(Situation const& situation) const
 {
-    if (situation.stopping || !situation.rank)
+    if (situation.stopping)
         return std::nullopt;
-    auto const pause = *situation.rank * claimPausePerRank;
+    bool const early
+        = this->record ? situation.wallClock < this->record->until : situation.now < situation.claimsAllowedSince;
+    if (early)
+        return std::nullopt;
+    auto const rank = situation.rank();
+    if (!rank)
+        return std::nullopt;
+    auto const pause = *rank * claimPausePerRank;
     if (!this->record) {
         auto const allowed = situation.claimsAllowedSince + Milliseconds { static_cast<double>(pause) };
         if (situation.now < allowed)
--- a/Libraries/Engine/RangeOwnership.h
+++ b/Libraries/Engine/RangeOwnership.h
@@ -2,6 +2,7 @@
 
 #include "Engine/KeyOwner.h"
 
+#include <functional>
 #include <optional>
 #include <vector>
 
@@ -32,8 +33,9 @@
     struct Situation {
         Milliseconds now;
         uint64_t wallClock { 0 };
-        /// Number of live nodes that should claim before this one; empty when this node must not claim.
-        std::optional<uint32_t> rank;
+        /// Number of live nodes that should claim before this one; empty when this node must not claim. Called only for
+        /// a range without a valid record, because counting walks over the fleet.
+        std::function<std::optional<uint32_t>()> rank;
         /// Time since when claims without a known record are allowed.
         Milliseconds claimsAllowedSince;
         bool stopping { false };
