Keep carrier candidates while the roster is unchanged

Cause: each configuration version ranked the roster again for all targets, in the carrier at once and in the part router on the next queries.

Change: the carrier remembers for each target whether this node is a candidate, and the part router keeps its lists, as long as the fleet definition and the target's failure domain are the same.

Three new tests cover changes of roster, failure domain and service.

--- a/Libraries/Configuration/Configuration.h
+++ b/Libraries/Configuration/Configuration.h
@@ -34,6 +34,8 @@
 struct NodeDefinition {
     std::string name;
     std::string failureDomain;
+
+    bool operator==(NodeDefinition const&) const = default;
 };
 
 struct FleetDefinition {
@@ -42,6 +44,8 @@
     Routing routing { Routing::Carried };
     uint32_t watchers { 2 };
     uint32_t keyRanges { 16 };
+
+    bool operator==(FleetDefinition const&) const = default;
 };
 
 /// Aim of a service: `ratio` of the requests answered whole within `latency`.
--- a/Libraries/Engine/Carrier.cpp
+++ b/Libraries/Engine/Carrier.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <limits>
 #include <map>
+#include <unordered_map>
 
 namespace Toucan {
 
@@ -19,6 +20,12 @@
         std::string address;
         Milliseconds nextPoll;
     };
+    struct Candidacy {
+        std::string failureDomain;
+        bool candidate { false };
+        /// The last version that has the target.
+        uint64_t version { 0 };
+    };
 
     Implementation(Hooks hooks, std::string nodeName)
         : context { std::move(hooks), {}, {} }
@@ -26,14 +33,29 @@
     {
     }
 
-    bool carries(FleetDefinition const& fleet, TargetDefinition const& target) const
+    bool isCandidate(FleetDefinition const& fleet, TargetDefinition const& target)
+    {
+        auto const [entry, inserted] = this->candidacies.try_emplace(target.name);
+        auto& known = entry->second;
+        if (inserted || known.failureDomain != target.failureDomain) {
+            auto const candidates = carrierCandidates(fleet, target, this->nodeName);
+            known.failureDomain = target.failureDomain;
+            known.candidate = std::ranges::find(candidates, this->nodeName) != candidates.end();
+        }
+        known.version = this->configuration->version;
+        return known.candidate;
+    }
+
+    bool carries(FleetDefinition const& fleet, TargetDefinition const& target)
     {
-        auto const candidates = carrierCandidates(fleet, target, this->nodeName);
-        return std::ranges::find(candidates, this->nodeName) != candidates.end() && connectionShare(fleet, target) > 0;
+        return this->isCandidate(fleet, target) && connectionShare(fleet, target) > 0;
     }
 
     void setConfiguration(ConfigurationPointer next, Milliseconds now)
     {
+        // Ranking the roster for all targets holds up the data path, and few changes concern the roster.
+        if (!this->configuration || this->configuration->fleet != next->fleet)
+            this->candidacies.clear();
         this->configuration = std::move(next);
         std::map<std::string, bool> carried;
         for (auto const& [serviceName, service] : this->configuration->services) {
@@ -48,6 +70,8 @@
             if (!carried.contains(name))
                 entry.target->retire(now);
         }
+        std::erase_if(this->candidacies,
+            [this](auto const& entry) { return entry.second.version != this->configuration->version; });
         this->dropRetired();
     }
 
@@ -128,6 +152,8 @@
     std::string nodeName;
     ConfigurationPointer configuration;
     std::map<std::string, Entry> targets;
+    /// Whether this node is a candidate for a target under the fleet in force, by target name.
+    std::unordered_map<std::string, Candidacy> candidacies;
     SentCommands commands;
 };
 
--- a/Libraries/Engine/PartRouter.cpp
+++ b/Libraries/Engine/PartRouter.cpp
@@ -15,8 +15,24 @@
 
 void PartRouter::setConfiguration(ConfigurationPointer next)
 {
-    this->configuration = std::move(next);
-    this->candidates.clear();
+    auto const previous = std::exchange(this->configuration, std::move(next));
+    auto known = std::exchange(this->candidates, {});
+    if (!previous || !this->configuration || previous->fleet != this->configuration->fleet)
+        return;
+    // The candidates of a target depend on the fleet, its name and its failure domain alone.
+    for (auto const& [serviceName, service] : this->configuration->services) {
+        auto const* before = previous->service(serviceName);
+        if (!before)
+            continue;
+        for (auto const& [name, target] : service.targets) {
+            auto const old = before->targets.find(name);
+            if (old == before->targets.end() || old->second.failureDomain != target.failureDomain)
+                continue;
+            // An empty list may come from a part that named another service.
+            if (auto entry = known.extract(name); !entry.empty() && !entry.mapped().empty())
+                this->candidates.insert(std::move(entry));
+        }
+    }
 }
 
 std::vector<std::string> const& PartRouter::candidatesOf(std::string const& service, std::string const& target) const
--- a/Tests/Engine/TestCarrier.cpp
+++ b/Tests/Engine/TestCarrier.cpp
@@ -240,3 +240,30 @@
     broken.transport = TargetAnswer::Transport::Broken;
     expect(std::move(broken), PartStatus::ConnectionLost);
 }
+
+// Guards against a node that keeps dialling a target, or never starts to, after a change of the roster or of the
+// target's failure domain.
+TEST(Carrier, FollowsChangesOfRosterAndFailureDomain)
+{
+    auto const carries = [&](AttemptId const& attempt) {
+        configuration.value.version += 1;
+        carrier.setConfiguration(configuration.pointer(), now);
+        auto const before = calls.size();
+        submit(attempt);
+        bool const sent = calls.size() > before;
+        answer(attempt);
+        return sent;
+    };
+    configuration.value.fleet.carriersPerTarget = 1;
+    CHECK(carries("p1"));
+    configuration.value.fleet.nodes["n2"] = { "n2", "d2" };
+    CHECK(carries("p2"));
+    configuration.target("a").failureDomain = "d2";
+    CHECK(!carries("p3"));
+    configuration.value.fleet.carriersPerTarget = 2;
+    CHECK(carries("p4"));
+    configuration.value.fleet.nodes["n3"] = { "n3", "d2" };
+    CHECK(!carries("p5"));
+    configuration.value.fleet.nodes.erase("n3");
+    CHECK(carries("p6"));
+}
--- a/Tests/Engine/TestPartRouter.cpp
+++ b/Tests/Engine/TestPartRouter.cpp
@@ -128,3 +128,42 @@
     CHECK(!this->sent.contains("entry-2"));
     CHECK_EQUAL(20, this->sent["entry-3"].size() + this->local.size() + this->results.size());
 }
+
+// Guards against candidate lists that outlive a change of the roster, of a target's failure domain, or of its service.
+TEST(PartRouter, FollowsChangesOfRosterAndFailureDomain)
+{
+    auto next = std::make_shared<Configuration>(*this->configuration);
+    next->fleet.nodes["entry-4"] = { "entry-4", "wien-b" };
+    next->fleet.nodes["entry-5"] = { "entry-5", "wien-b" };
+    auto const expectCandidates = [&] {
+        this->router.setConfiguration(std::make_shared<Configuration const>(*next));
+        for (auto const& [name, target] : next->services.at("service").targets) {
+            auto const names = carrierCandidates(next->fleet, target, "entry-1");
+            bool const carried = std::find(names.begin(), names.end(), "entry-1") != names.end();
+            CHECK_EQUAL(carried, this->router.carries("service", name));
+        }
+    };
+    expectCandidates();
+    for (auto& [name, target] : next->services["service"].targets)
+        target.failureDomain = "wien-b";
+    expectCandidates();
+    for (auto& [name, target] : next->services["service"].targets)
+        CHECK(!this->router.carries("service", name));
+    next->fleet.carriersPerTarget = 5;
+    expectCandidates();
+    CHECK(this->router.carries("service", "target-0"));
+    next->services["service"].targets.erase("target-0");
+    expectCandidates();
+    CHECK(!this->router.carries("service", "target-0"));
+}
+
+// Guards against an empty list, cached for a part that named another service, that outlives the version.
+TEST(PartRouter, ForgetsAnEmptyListWithTheNextVersion)
+{
+    auto next = std::make_shared<Configuration>(*this->configuration);
+    next->fleet.carriersPerTarget = 3;
+    this->router.setConfiguration(std::make_shared<Configuration const>(*next));
+    CHECK(!this->router.carries("other-service", "target-0"));
+    this->router.setConfiguration(std::make_shared<Configuration const>(*next));
+    CHECK(this->router.carries("service", "target-0"));
+}
