Keep slots from queued parts that cannot finish on time

Cause: at twice the load of the slots, the carrier let parts wait until just before their deadline and counted no time for the work itself. Change: the early refusal adds the mean service time and a margin of 10%, and a queued idempotent part with less than 1.5 mean service times left is not sent while others wait behind it. A part that finds a free slot is always sent, so a target that was slow is measured again. Shared code: Libraries/Engine/CarriedTarget.

--- a/Libraries/Engine/CarriedTarget.cpp
+++ b/Libraries/Engine/CarriedTarget.cpp
@@ -12,6 +12,10 @@
 static constexpr Milliseconds defaultBackOff { 10 };
 static constexpr Milliseconds longestBackOff { 5000 };
 static constexpr double backOffJitter = 0.5;
+/// Expected waits are off by several percent, and a part that ends late has taken its slot for nothing.
+static constexpr double estimateMargin = 1.1;
+/// Service times vary; a part with less than this many mean service times left often misses its deadline.
+static constexpr double leastServiceTimesLeft = 1.5;
 
 CarriedTarget::CarriedTarget(CarrierContext& context, std::string name)
     : context(context)
@@ -62,6 +66,15 @@
     return pause + this->smoothedService * (ahead / this->slots());
 }
 
+bool CarriedTarget::isTooLate(CarriedPart const& part, Milliseconds now) const
+{
+    if (part.deadline <= now)
+        return true;
+    // The last waiting part is sent in any case, so that a target that was slow is measured again.
+    return this->rule.limits == Feature::On && part.request.idempotence == Idempotence::Idempotent
+        && !this->queue.empty() && now + this->smoothedService * leastServiceTimesLeft > part.deadline;
+}
+
 void CarriedTarget::submit(CarriedPart&& part, Milliseconds now)
 {
     if (this->retired)
@@ -72,9 +85,11 @@
         return this->giveBack(part, PartStatus::ExpiredInQueue, now);
     if (this->rule.limits == Feature::On) {
         auto const classIndex = part.request.classIndex;
-        if (now + this->expectedWait(classIndex, now) > part.deadline)
-            return this->giveBack(part, PartStatus::Refused, now);
         auto const startsAtOnce = this->queue.empty() && this->mayStart(classIndex, now);
+        // A part that starts at once shows whether the target has become faster, so it is always let in.
+        auto const expectedEnd = (this->expectedWait(classIndex, now) + this->smoothedService) * estimateMargin;
+        if (!startsAtOnce && now + expectedEnd > part.deadline)
+            return this->giveBack(part, PartStatus::Refused, now);
         if (!startsAtOnce && this->queue.size() >= this->rule.queueLimit) {
             auto const dropped = this->queue.popLowerThan(classIndex);
             if (!dropped)
@@ -105,7 +120,7 @@
     for (auto next = this->queue.firstClass(); next && this->mayStart(*next, now); next = this->queue.firstClass()) {
         auto part = *this->queue.pop();
         this->clearTimer(part.request.attempt, part.deadline);
-        if (part.deadline <= now)
+        if (this->isTooLate(part, now))
             this->giveBack(part, PartStatus::ExpiredInQueue, now);
         else
             this->send(std::move(part), now);
--- a/Libraries/Engine/CarriedTarget.h
+++ b/Libraries/Engine/CarriedTarget.h
@@ -71,6 +71,8 @@
     uint32_t slots() const;
     bool mayStart(uint32_t classIndex, Milliseconds now) const;
     Milliseconds expectedWait(uint32_t classIndex, Milliseconds now) const;
+    /// Whether sending the part would only take a slot from parts that can still be on time.
+    bool isTooLate(CarriedPart const& part, Milliseconds now) const;
     void sendReady(Milliseconds now);
     void send(CarriedPart&& part, Milliseconds now);
     void onTimer(AttemptId const& attempt, Milliseconds now);
--- a/Tests/Engine/TestCarrier.cpp
+++ b/Tests/Engine/TestCarrier.cpp
@@ -2,6 +2,8 @@
 
 #include "Engine/Carrier.h"
 
+#include <algorithm>
+
 #include "CppUTest/TestHarness.h"
 
 using namespace Toucan;
@@ -135,6 +137,36 @@
     LONGS_EQUAL(3, calls.size());
 }
 
+// Guards against slots lost under overload to parts that start before their deadline and end after it.
+TEST(Carrier, DoesNotSendQueuedPartsThatCannotFinish)
+{
+    submit("p0");
+    now += 10_ms;
+    answer("p0");
+    submit("p1");
+    submit("p2");
+    submit("refused", 1, 10_ms);
+    STRCMP_EQUAL("refused", results.back().attempt.c_str());
+    CHECK(PartStatus::Refused == results.back().status);
+    submit("late", 1, 25_ms);
+    submit("p3", 1, 100_ms);
+    now += 15_ms;
+    answer("p1");
+    auto const late = std::ranges::find(results, "late", &PartResult::attempt);
+    CHECK(late != results.end() && late->status == PartStatus::ExpiredInQueue);
+    STRCMP_EQUAL("p3", calls.back().part.attempt.c_str());
+}
+
+// Guards against a target that gets no work any more because it was once slower than the deadlines.
+TEST(Carrier, TargetThatWasSlowIsTriedAgain)
+{
+    submit("p0", 1, 1000_ms);
+    now += 500_ms;
+    answer("p0");
+    submit("p1");
+    STRCMP_EQUAL("p1", calls.back().part.attempt.c_str());
+}
+
 // Guards against a limit that ignores shed answers, that falls to zero, or that never grows back.
 TEST(Carrier, SlotLimitFollowsShedAnswers)
 {
