Hand a target's connections over within its limit

A node that stopped carrying a target kept its idle connections for 30 s and the new carriers dialled at once, so the sum exceeded the target's limit. Shares are now announced to the network layer, which closes what a node may no longer hold. A new candidate, or a larger share, waits 3 s plus the rule's deadline; entry nodes use the candidates that stayed.

Touches Net/HttpClientPool (limit) and the hooks of Carrier, PartRouter and NodeEngine, which others share.

--- a/Libraries/Engine/Carrier.cpp
+++ b/Libraries/Engine/Carrier.cpp
@@ -1,7 +1,7 @@
 #include "Engine/Carrier.h"
 
 #include "Engine/CarriedTarget.h"
-#include "Engine/CarrierMap.h"
+#include "Engine/CarrierHandover.h"
 #include "Engine/SentCommands.h"
 
 #include <algorithm>
@@ -22,36 +22,63 @@
 
     Implementation(Hooks hooks, std::string nodeName)
         : context { std::move(hooks), {}, {} }
-        , nodeName(std::move(nodeName))
+        , handover(std::move(nodeName))
     {
     }
 
-    bool carries(FleetDefinition const& fleet, TargetDefinition const& target) const
+    void setConfiguration(ConfigurationPointer next, Milliseconds now)
     {
-        auto const candidates = carrierCandidates(fleet, target, this->nodeName);
-        return std::ranges::find(candidates, this->nodeName) != candidates.end() && connectionShare(fleet, target) > 0;
+        this->configuration = std::move(next);
+        this->handover.setConfiguration(this->configuration, now);
+        this->configureTargets(now);
     }
 
-    void setConfiguration(ConfigurationPointer next, Milliseconds now)
+    void configureTargets(Milliseconds now)
     {
-        this->configuration = std::move(next);
+        this->nextShareChange = this->handover.nextChange(now);
         std::map<std::string, bool> carried;
+        std::map<std::string, uint32_t> shares;
         for (auto const& [serviceName, service] : this->configuration->services) {
             for (auto const& [name, target] : service.targets) {
-                if (!this->carries(this->configuration->fleet, target))
+                auto const share = this->handover.share(target, now);
+                if (!share)
                     continue;
                 carried[name] = true;
-                this->configure(service, target, now);
+                shares[target.address] = share;
+                this->configure(service, target, share, now);
             }
         }
         for (auto& [name, entry] : this->targets) {
             if (!carried.contains(name))
                 entry.target->retire(now);
         }
+        this->announceShares(std::move(shares));
         this->dropRetired();
     }
 
-    void configure(ServiceDefinition const& service, TargetDefinition const& target, Milliseconds now)
+    /// Tells the network layer what changed, so that it closes connections that this node may no longer hold.
+    void announceShares(std::map<std::string, uint32_t>&& shares)
+    {
+        for (auto const& [address, share] : this->announcedShares) {
+            if (!shares.contains(address))
+                this->announceShare(address, 0);
+        }
+        for (auto const& [address, share] : shares) {
+            auto const found = this->announcedShares.find(address);
+            if (found == this->announcedShares.end() || found->second != share)
+                this->announceShare(address, share);
+        }
+        this->announcedShares = std::move(shares);
+    }
+
+    void announceShare(std::string const& address, uint32_t share)
+    {
+        if (!this->context.hooks.limitConnections)
+            return;
+        this->context.outbox.post([this, address, share] { this->context.hooks.limitConnections(address, share); });
+    }
+
+    void configure(ServiceDefinition const& service, TargetDefinition const& target, uint32_t share, Milliseconds now)
     {
         auto const& rule = this->configuration->ruleOf(service);
         auto const& classes = this->configuration->classes;
@@ -63,7 +90,7 @@
         }
         entry.address = target.address;
         auto const lowestClass = classes.empty() ? 0 : static_cast<uint32_t>(classes.size() - 1);
-        entry.target->configure(target, rule, connectionShare(this->configuration->fleet, target), lowestClass, now);
+        entry.target->configure(target, rule, share, lowestClass, now);
     }
 
     void dropRetired()
@@ -125,8 +152,10 @@
     }
 
     CarrierContext context;
-    std::string nodeName;
+    CarrierHandover handover;
     ConfigurationPointer configuration;
+    Milliseconds nextShareChange { std::numeric_limits<double>::infinity() };
+    std::map<std::string, uint32_t> announcedShares;
     std::map<std::string, Entry> targets;
     SentCommands commands;
 };
@@ -144,6 +173,11 @@
     this->implementation->context.outbox.flush();
 }
 
+bool Carrier::waits(std::string const& address, std::string const& node, Milliseconds now) const
+{
+    return this->implementation->handover.waits(address, node, now);
+}
+
 void Carrier::submit(std::string const& sender, PartRequest&& part, Milliseconds now)
 {
     this->implementation->submit(sender, std::move(part), now);
@@ -184,6 +218,8 @@
 
 void Carrier::advance(Milliseconds now)
 {
+    if (now >= this->implementation->nextShareChange)
+        this->implementation->configureTargets(now);
     for (auto& [name, entry] : this->implementation->targets) {
         entry.target->advance(now);
         this->implementation->poll(name, entry, now);
@@ -194,7 +230,7 @@
 
 Milliseconds Carrier::nextWakeup() const
 {
-    Milliseconds next { std::numeric_limits<double>::infinity() };
+    auto next = this->implementation->nextShareChange;
     for (auto const& [name, entry] : this->implementation->targets) {
         next = std::min(next, entry.target->nextWakeup());
         if (!entry.target->isRetired())
--- a/Libraries/Engine/Carrier.h
+++ b/Libraries/Engine/Carrier.h
@@ -30,6 +30,9 @@
         /// Starts a status poll; the answer comes back through onTargetStatus().
         std::function<void(std::string const& target, std::string const& address)> pollStatus;
         std::function<double()> random;
+        /// Connections that this node may keep to an address from now on; 0 closes idle ones at once and busy ones
+        /// after their exchange. May be empty.
+        std::function<void(std::string const& address, uint32_t connections)> limitConnections;
     };
 
     Carrier(Hooks hooks, std::string nodeName);
@@ -37,6 +40,8 @@
 
     void setConfiguration(ConfigurationPointer configuration, Milliseconds now);
     /// `sender` is the name of the entry node, or this node's own name.
+    /// Whether the candidate does not dial the address yet, because earlier carriers may still hold connections.
+    bool waits(std::string const& address, std::string const& node, Milliseconds now) const;
     void submit(std::string const& sender, PartRequest&& part, Milliseconds now);
     void cancel(AttemptId const& attempt, Milliseconds now);
     void onTargetAnswer(TargetAnswer&& answer, Milliseconds now);
--- a/Libraries/Engine/NodeCoreHooks.cpp
+++ b/Libraries/Engine/NodeCoreHooks.cpp
@@ -27,6 +27,7 @@
     result.result
         = [this](std::string const& sender, PartResult&& part) { this->deliverResult(sender, std::move(part)); };
     result.pollStatus = this->hooks.pollTarget;
+    result.limitConnections = this->hooks.limitConnections;
     result.random = this->hooks.random;
     return result;
 }
@@ -139,6 +140,9 @@
         });
     };
     result.isUsable = [this](std::string const& node) { return this->membership.usable(node); };
+    result.waits = [this](std::string const& address, std::string const& node) {
+        return this->carrier.waits(address, node, this->currentTime);
+    };
     return result;
 }
 
--- a/Libraries/Engine/NodeEngine.h
+++ b/Libraries/Engine/NodeEngine.h
@@ -61,6 +61,8 @@
         std::function<void(AttemptId const&, std::string const& target)> cancelTargetCall;
         /// Requests GET /v1/status of a target; ends with onTargetStatus().
         std::function<void(std::string const& target, std::string const& address)> pollTarget;
+        /// Connections that may be kept to a target's address from now on; see Carrier::Hooks. May be empty.
+        std::function<void(std::string const& address, uint32_t connections)> limitConnections;
         std::function<void(CallerAnswer&&)> answerCaller;
         std::function<void(StoreRequest&&)> requestStore;
         std::function<void(bool watching)> setWatching;
--- a/Libraries/Engine/PartRouter.cpp
+++ b/Libraries/Engine/PartRouter.cpp
@@ -19,27 +19,31 @@
     this->candidates.clear();
 }
 
-std::vector<std::string> const& PartRouter::candidatesOf(std::string const& service, std::string const& target) const
+PartRouter::Candidates const& PartRouter::candidatesOf(std::string const& service, std::string const& target) const
 {
     auto const [entry, inserted] = this->candidates.try_emplace(target);
     if (!inserted)
         return entry->second;
     if (auto const* definition = this->configuration ? this->configuration->service(service) : nullptr) {
         if (auto const found = definition->targets.find(target); found != definition->targets.end())
-            entry->second = carrierCandidates(this->configuration->fleet, found->second, this->nodeName);
+            entry->second = { found->second.address,
+                carrierCandidates(this->configuration->fleet, found->second, this->nodeName) };
     }
     return entry->second;
 }
 
 bool PartRouter::carries(std::string const& service, std::string const& target) const
 {
-    auto const& names = this->candidatesOf(service, target);
+    auto const& names = this->candidatesOf(service, target).names;
     return std::find(names.begin(), names.end(), this->nodeName) != names.end();
 }
 
 std::string PartRouter::chooseCarrier(PartRequest const& part)
 {
-    for (auto const& name : this->candidatesOf(part.service, part.target)) {
+    auto const& [address, names] = this->candidatesOf(part.service, part.target);
+    for (auto const& name : names) {
+        if (this->hooks.waits && this->hooks.waits(address, name))
+            continue;
         if (name == this->nodeName || this->hooks.isUsable(name))
             return name;
     }
--- a/Libraries/Engine/PartRouter.h
+++ b/Libraries/Engine/PartRouter.h
@@ -24,6 +24,8 @@
         std::function<void(AttemptId const&)> cancelLocally;
         std::function<void(PartResult&&)> result;
         std::function<bool(std::string const& node)> isUsable;
+        /// Whether a candidate does not dial the target's address yet; see CarrierHandover. May be empty.
+        std::function<bool(std::string const& address, std::string const& node)> waits;
     };
 
     PartRouter(Hooks hooks, std::string nodeName);
@@ -49,14 +51,19 @@
         uint32_t shard { 0 };
     };
 
+    struct Candidates {
+        std::string address;
+        std::vector<std::string> names;
+    };
+
     std::string chooseCarrier(PartRequest const& part);
-    std::vector<std::string> const& candidatesOf(std::string const& service, std::string const& target) const;
+    Candidates const& candidatesOf(std::string const& service, std::string const& target) const;
     void fail(InFlight const& entry, AttemptId const& attempt, PartStatus status);
 
     Hooks hooks;
     std::string nodeName;
     ConfigurationPointer configuration;
-    mutable std::unordered_map<std::string, std::vector<std::string>> candidates;
+    mutable std::unordered_map<std::string, Candidates> candidates;
     std::unordered_map<AttemptId, InFlight> inFlight;
     std::map<std::string, std::vector<PartRequest>> outgoing;
     std::map<std::string, std::vector<AttemptId>> outgoingCancels;
--- a/Libraries/Net/HttpClientPool.cpp
+++ b/Libraries/Net/HttpClientPool.cpp
@@ -167,6 +167,19 @@
             this->waiting.push_back(pending);
     }
 
+    void limit(uint32_t connectionLimit)
+    {
+        this->connectionLimit = connectionLimit;
+        // The one used last is the least likely to have been closed by the peer, so it stays longest.
+        while (!this->idle.empty() && this->connections.size() > connectionLimit)
+            this->remove(Pointer(this->idle.front()));
+        if (connectionLimit == 0) {
+            for (auto const& pending : std::exchange(this->waiting, {}))
+                this->finishLater(pending, pending->sent ? HttpTransport::Broken : HttpTransport::NoConnection);
+        }
+        this->startWaiting();
+    }
+
     size_t openConnections() const { return this->connections.size(); }
 
     void closeAll()
@@ -347,6 +360,12 @@
     found->send(connections, std::move(exchange));
 }
 
+void HttpClientPool::limit(std::string const& endpoint, uint32_t connections)
+{
+    if (auto const found = this->endpoints.find(endpoint); found != this->endpoints.end())
+        found->second->limit(connections);
+}
+
 size_t HttpClientPool::openConnections(std::string const& endpoint) const
 {
     auto const found = this->endpoints.find(endpoint);
--- a/Libraries/Net/HttpClientPool.h
+++ b/Libraries/Net/HttpClientPool.h
@@ -74,6 +74,9 @@
 
     /// `endpoint` as in "127.0.0.1:9001"; at most `connections` are open to it at once.
     void send(std::string const& endpoint, uint32_t connections, HttpExchange&& exchange);
+    /// Changes the bound at once: idle connections above it are closed, busy ones after their exchange. With 0,
+    /// exchanges that wait end with NoConnection.
+    void limit(std::string const& endpoint, uint32_t connections);
     size_t openConnections(std::string const& endpoint) const;
 
 private:
--- a/Libraries/Node/EngineThread.cpp
+++ b/Libraries/Node/EngineThread.cpp
@@ -45,6 +45,9 @@
     result.pollTarget = [this](std::string const& target, std::string const& address) {
         this->send(PollTarget { target, address });
     };
+    result.limitConnections = [this](std::string const& address, uint32_t connections) {
+        this->send(LimitTargetConnections { address, connections });
+    };
     result.answerCaller = [this](CallerAnswer&& answer) { this->send(std::move(answer)); };
     result.requestStore = [this](StoreRequest&& request) { this->storeLink.request(std::move(request)); };
     result.setWatching = [this](bool watching) { this->storeLink.setWatching(watching); };
--- a/Libraries/Node/NetworkThread.cpp
+++ b/Libraries/Node/NetworkThread.cpp
@@ -104,6 +104,8 @@
         this->targets.cancel(cancel->attempt);
     else if (auto const* poll = std::get_if<PollTarget>(&task))
         this->targets.poll(poll->target, poll->address);
+    else if (auto const* limit = std::get_if<LimitTargetConnections>(&task))
+        this->targets.limit(limit->address, limit->connections);
     else if (auto const* answer = std::get_if<CallerAnswer>(&task))
         this->callers.answer(*answer);
 }
--- a/Libraries/Node/TargetClient.cpp
+++ b/Libraries/Node/TargetClient.cpp
@@ -147,6 +147,12 @@
     this->pool.send(found->second, this->shares[found->second], std::move(exchange));
 }
 
+void TargetClient::limit(std::string const& address, uint32_t connections)
+{
+    this->shares[address] = connections;
+    this->pool.limit(address, connections);
+}
+
 void TargetClient::poll(std::string const& target, std::string const& address)
 {
     ++this->totals.polls;
--- a/Libraries/Node/TargetClient.h
+++ b/Libraries/Node/TargetClient.h
@@ -32,6 +32,9 @@
     void call(TargetCall const& call);
     /// Uses another connection within the share; dropped when none is free.
     void cancel(AttemptId const& attempt);
+    /// Connections that may stay open to an address from now on; 0 closes idle ones at once and busy ones after their
+    /// exchange.
+    void limit(std::string const& address, uint32_t connections);
     void poll(std::string const& target, std::string const& address);
     Counters const& counters() const { return this->totals; }
 
--- a/Libraries/Node/ThreadMessages.h
+++ b/Libraries/Node/ThreadMessages.h
@@ -42,7 +42,14 @@
     std::string address;
 };
 
+/// Connections to an address that may stay open; 0 when this node no longer carries a target there.
+struct LimitTargetConnections {
+    std::string address;
+    uint32_t connections { 0 };
+};
+
 /// What the engine thread asks of the network thread.
-using NetworkTask = std::variant<std::monostate, FrameToSend, TargetCall, CancelTargetCall, PollTarget, CallerAnswer>;
+using NetworkTask = std::variant<std::monostate, FrameToSend, TargetCall, CancelTargetCall, PollTarget,
+    LimitTargetConnections, CallerAnswer>;
 
 } // namespace Toucan
--- a/Tests/Engine/TestCarrier.cpp
+++ b/Tests/Engine/TestCarrier.cpp
@@ -18,7 +18,7 @@
                           [this](AttemptId const& attempt, std::string const&) { cancelled.push_back(attempt); },
                           [this](std::string const&, PartResult&& result) { results.push_back(std::move(result)); },
                           [this](std::string const& target, std::string const&) { polls.push_back(target); },
-                          [] { return 0.5; } },
+                          [] { return 0.5; }, {} },
         "n1" };
 
     void setup() override { carrier.setConfiguration(configuration.pointer(), now); }
--- /dev/null
+++ b/Tests/Engine/TestCarrierHandover.cpp
@@ -0,0 +1,182 @@
+#include "EngineFixtures.h"
+
+#include "Engine/Carrier.h"
+#include "Engine/CarrierHandover.h"
+#include "Engine/CarrierMap.h"
+
+#include <algorithm>
+#include <random>
+
+#include "CppUTest/TestHarness.h"
+
+using namespace Toucan;
+
+static TestConfiguration createConfiguration(std::vector<std::string> const& nodes, uint32_t carriers = 2)
+{
+    TestConfiguration result { 1 };
+    result.value.fleet.nodes.clear();
+    for (auto const& name : nodes)
+        result.value.fleet.nodes[name] = { name, "d1" };
+    result.value.fleet.carriersPerTarget = carriers;
+    return result;
+}
+
+TEST_GROUP(CarrierHandover)
+{
+    Milliseconds now { 1000 };
+    TestConfiguration before = createConfiguration({ "n1", "n2", "n3" });
+    /// Roster in which the first candidate is replaced by a node that was none.
+    TestConfiguration after = before;
+    std::string former;
+    std::string kept;
+    std::string added;
+
+    void setup() override
+    {
+        auto const candidates = carrierCandidates(before.value.fleet, before.target("a"), "");
+        former = candidates[0];
+        kept = candidates[1];
+        after.value.fleet.nodes.erase(former);
+        for (auto const& [name, node] : after.value.fleet.nodes) {
+            if (name != kept)
+                added = name;
+        }
+    }
+    uint32_t shareAfter(std::string const& node, Milliseconds passed)
+    {
+        CarrierHandover handover(node);
+        handover.setConfiguration(before.pointer(), now);
+        handover.setConfiguration(after.pointer(), now);
+        return handover.share(after.target("a"), now + passed);
+    }
+};
+
+// Guards against a new carrier that dials while a former one, which has not heard of the change, still does.
+TEST(CarrierHandover, NewCarrierWaitsUntilFormerOnesHaveClosed)
+{
+    LONGS_EQUAL(0, shareAfter(added, 0_ms));
+    LONGS_EQUAL(0, shareAfter(added, 3000_ms));
+    LONGS_EQUAL(8, shareAfter(added, 3100_ms));
+    LONGS_EQUAL(8, shareAfter(kept, 0_ms));
+    LONGS_EQUAL(0, shareAfter(former, 0_ms));
+}
+
+// Guards against a raised share while another carrier still holds its old one.
+TEST(CarrierHandover, LargerShareIsTakenLateAndASmallerOneAtOnce)
+{
+    after = before;
+    after.value.fleet.carriersPerTarget = 1;
+    LONGS_EQUAL(8, shareAfter(former, 0_ms));
+    LONGS_EQUAL(12, shareAfter(former, 3100_ms));
+    after.value.fleet.carriersPerTarget = 3;
+    LONGS_EQUAL(6, shareAfter(former, 0_ms));
+}
+
+// Guards against a target that nobody may dial when all its carriers change at once.
+TEST(CarrierHandover, NewCarriersDivideTheSpareShareWhenNoFormerOneIsLeft)
+{
+    after = createConfiguration({ "n4", "n5" });
+    LONGS_EQUAL(4, shareAfter("n4", 0_ms));
+    LONGS_EQUAL(4, shareAfter("n5", 0_ms));
+    LONGS_EQUAL(8, shareAfter("n5", 3100_ms));
+}
+
+// Guards against a pause before targets that nobody can have dialled.
+TEST(CarrierHandover, NewAddressAndFirstConfigurationNeedNoPause)
+{
+    after.target("a").address = "127.0.0.1:9002";
+    LONGS_EQUAL(8, shareAfter(added, 0_ms));
+    CarrierHandover fresh(added);
+    fresh.setConfiguration(after.pointer(), now);
+    LONGS_EQUAL(8, fresh.share(after.target("a"), now));
+}
+
+// Guards against connections that stay open after the node stopped carrying the target, and against early dials.
+TEST(CarrierHandover, CarrierAnnouncesItsShares)
+{
+    std::vector<std::pair<std::string, uint32_t>> limits;
+    Carrier::Hooks hooks;
+    hooks.limitConnections = [&](std::string const& address, uint32_t share) { limits.emplace_back(address, share); };
+    hooks.pollStatus = [](std::string const&, std::string const&) {};
+    hooks.random = [] { return 0.5; };
+    Carrier formerCarrier(hooks, former);
+    formerCarrier.setConfiguration(before.pointer(), now);
+    formerCarrier.setConfiguration(after.pointer(), now);
+    LONGS_EQUAL(2, limits.size());
+    LONGS_EQUAL(8, limits[0].second);
+    LONGS_EQUAL(0, limits[1].second);
+    limits.clear();
+    Carrier addedCarrier(hooks, added);
+    addedCarrier.setConfiguration(before.pointer(), now);
+    addedCarrier.setConfiguration(after.pointer(), now);
+    addedCarrier.advance(now + 3000_ms);
+    LONGS_EQUAL(0, limits.size());
+    CHECK(addedCarrier.nextWakeup() < now + 3100_ms);
+    addedCarrier.advance(now + 3100_ms);
+    LONGS_EQUAL(1, limits.size());
+    LONGS_EQUAL(8, limits[0].second);
+}
+
+namespace {
+
+/// A node that holds all the connections it may; an exchange keeps a connection up to the rule's deadline longer.
+struct HoldingNode {
+    CarrierHandover handover;
+    Milliseconds installAt;
+    std::vector<std::pair<Milliseconds, uint32_t>> lastShares {};
+
+    uint32_t held(Milliseconds now, Milliseconds deadline)
+    {
+        std::erase_if(this->lastShares, [&](auto const& entry) { return entry.first + deadline < now; });
+        return std::ranges::max_element(this->lastShares, {}, &std::pair<Milliseconds, uint32_t>::second)->second;
+    }
+};
+
+} // namespace
+
+// Guards against more connections than the target takes, whatever the order in which nodes install changed rosters.
+TEST(CarrierHandover, RandomRosterChangesKeepTheLimit)
+{
+    std::mt19937_64 random(7);
+    auto const pick = [&](int below) { return static_cast<int>(random() % static_cast<uint64_t>(below)); };
+    auto const randomFleet = [&] {
+        std::vector<std::string> names;
+        for (int number = 0; number < 8; ++number) {
+            if (pick(2))
+                names.push_back("n" + std::to_string(number));
+        }
+        if (names.empty())
+            names.emplace_back("n0");
+        return createConfiguration(names, static_cast<uint32_t>(1 + pick(4)));
+    };
+    for (int round = 0; round < 300; ++round) {
+        Milliseconds now { 1000 };
+        auto current = randomFleet();
+        std::vector<HoldingNode> nodes;
+        for (int number = 0; number < 8; ++number) {
+            nodes.push_back({ CarrierHandover("n" + std::to_string(number)), now });
+            nodes.back().handover.setConfiguration(current.pointer(), now);
+        }
+        // A second change follows only after the first one's hand-over, as the design states.
+        for (int change = 0; change < 3; ++change) {
+            auto const next = randomFleet();
+            for (auto& node : nodes)
+                node.installAt = now + Milliseconds { static_cast<double>(pick(30)) } * 100;
+            for (auto const end = now + 6500_ms; now < end; now += 50_ms) {
+                uint32_t sum = 0;
+                for (auto& node : nodes) {
+                    if (now >= node.installAt) {
+                        node.handover.setConfiguration(next.pointer(), now);
+                        node.installAt = Milliseconds { 1e12 };
+                    }
+                    auto const& fleet = node.installAt < Milliseconds { 1e12 } ? current : next;
+                    auto const& target = fleet.value.services.at("s").targets.at("a");
+                    node.lastShares.emplace_back(now, node.handover.share(target, now));
+                    sum += node.held(now, 59_ms);
+                }
+                CHECK_TRUE(sum <= 25);
+            }
+            current = next;
+        }
+    }
+}
--- a/Tests/Engine/TestPartRouter.cpp
+++ b/Tests/Engine/TestPartRouter.cpp
@@ -128,3 +128,24 @@
     CHECK(!this->sent.contains("entry-2"));
     CHECK_EQUAL(20, this->sent["entry-3"].size() + this->local.size() + this->results.size());
 }
+
+// Guards against parts that go to a new carrier before it dials, while a former one still serves.
+TEST(PartRouter, PassesOverCarriersThatDoNotDialYet)
+{
+    auto waiting = this->hooks();
+    waiting.waits = [](std::string const& address, std::string const& node) {
+        return address == "127.0.0.1:1" && node == "entry-2";
+    };
+    PartRouter other(waiting, "entry-1");
+    other.setConfiguration(this->configuration);
+    for (int number = 0; number < 20; ++number) {
+        PartRequest part;
+        part.attempt = std::to_string(number);
+        part.service = "service";
+        part.target = "target-" + std::to_string(number);
+        other.send(part);
+    }
+    other.flush();
+    CHECK(!this->sent.contains("entry-2"));
+    CHECK_EQUAL(20, this->sent["entry-3"].size() + this->local.size() + this->results.size());
+}
--- /dev/null
+++ b/Tests/Integration/test_limits.py
@@ -0,0 +1,122 @@
+"""Tests of the targets' connection limit with real processes while carriers change."""
+
+import json
+import pathlib
+import sys
+import tempfile
+import unittest
+import time
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[2] / "Scripts"))
+
+from toucanfleet import Fleet, write_json  # noqa: E402  (the path is set above)
+
+SERVICE = "warehouse-packing"
+CONNECTIONS = 4
+DEADLINE_MS = 250
+# The time in which an accepted configuration is in force everywhere, and the rule's deadline.
+HANDOVER_S = 3 + DEADLINE_MS / 1000
+
+
+class LimitsFleet(Fleet):
+    """One service of 6 targets that take 4 connections each, so that each of 3 carriers may hold one."""
+
+    def __init__(self, folder, nodes, roster):
+        super().__init__(folder, nodes=nodes)
+        self.configuration["services"] = {SERVICE: self.configuration["services"][SERVICE]}
+        self.target_settings = {name: settings | {"connections": CONNECTIONS, "slots": CONNECTIONS}
+                                for name, settings in self.target_settings.items() if settings["service"] == SERVICE}
+        for target in self.configuration["services"][SERVICE]["targets"].values():
+            target.update(connections=CONNECTIONS, slots=CONNECTIONS)
+        self.set_roster(roster)
+
+    def set_roster(self, names):
+        """Names the nodes that may carry targets; apply() puts it in force."""
+        self.configuration["fleet"]["nodes"] = {name: {"failureDomain": self.node_domains[name]} for name in names}
+
+    def start_load(self, seconds, nodes, rate=150):
+        """Starts bounded load on the nodes and returns the process."""
+        settings = {"seed": 3, "durationMs": seconds * 1000, "timeoutMs": 2000, "connections": 20,
+                    "mix": [{"service": SERVICE, "rate": rate}], "history": str(self.folder / "callers.jsonl"),
+                    "nodes": [{"name": name, "address": self.nodes[name].caller} for name in nodes]}
+        write_json(self.folder / "load.json", settings)
+        return self.spawn("load", "tg-load", "--settings", self.folder / "load.json")
+
+    def whole_share(self):
+        """Share of whole answers in the load's history; waits until the load has ended."""
+        self.processes["load"].wait(30)
+        lines = [json.loads(line) for line in (self.folder / "callers.jsonl").read_text(encoding="utf-8").splitlines()]
+        whole = sum(1 for line in lines if line["status"] == 200 and line["coverage"]["whole"])
+        return whole / len(lines)
+
+    def connections(self):
+        """Connection counters of all targets by name."""
+        counters = self.target_counters()
+        return {name: entry["connections"] for name, entry in counters.get("targets", counters).items()}
+
+
+class LimitsTest(unittest.TestCase):
+    """Each test runs a fleet under load and looks at the targets' own counters."""
+
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = pathlib.Path(folder.name)
+
+    def check_limit(self, fleet):
+        """No target saw more connections than it takes, and none was refused."""
+        seen = fleet.connections()
+        peaks = {name: (entry["peak"], entry["refused"]) for name, entry in seen.items()}
+        print(f"connections (peak, refused): {sorted(peaks.values())}", end=" ", flush=True)
+        for name, (peak, refused) in peaks.items():
+            self.assertLessEqual(peak, CONNECTIONS, name)
+            self.assertEqual(refused, 0, name)
+
+    def test_roster_changes_under_load(self):
+        """Guards against former carriers that keep their connections while new ones dial."""
+        with LimitsFleet(self.folder, 5, ["entry-1", "entry-2", "entry-3"]) as fleet:
+            fleet.start_load(14, fleet.nodes)
+            for roster in (["entry-3", "entry-4", "entry-5"], ["entry-1", "entry-2", "entry-5"],
+                           ["entry-2", "entry-3", "entry-4"]):
+                time.sleep(HANDOVER_S + 0.5)
+                fleet.set_roster(roster)
+                fleet.apply()
+            share = fleet.whole_share()
+            self.check_limit(fleet)
+            print(f"whole answers: {share:.4f}", end=" ", flush=True)
+            self.assertGreater(share, 0.99)
+
+    def test_node_outside_the_roster_and_overlapping_successor(self):
+        """Guards against an additional node that dials, and against a successor that exceeds the spare share."""
+        with LimitsFleet(self.folder, 4, ["entry-1", "entry-2", "entry-3"]) as fleet:
+            load = fleet.start_load(6, fleet.nodes)
+            time.sleep(1)
+            settings = json.loads((self.folder / "entry-1.json").read_text(encoding="utf-8"))
+            settings |= {name: fleet.ports.address() for name in ("callerListen", "peerListen", "adminListen")}
+            write_json(self.folder / "successor.json", settings)
+            fleet.spawn("successor", "toucangauged", "--settings", self.folder / "successor.json")
+            time.sleep(3)
+            self.assertIsNone(load.poll())
+            share = fleet.whole_share()
+            self.check_limit(fleet)
+            print(f"whole answers: {share:.4f}", end=" ", flush=True)
+
+    def test_paused_carrier_during_a_roster_change(self):
+        """Guards against new carriers that dial beside a paused one, whose connections nobody can close."""
+        with LimitsFleet(self.folder, 5, ["entry-1", "entry-2", "entry-3"]) as fleet:
+            fleet.start_load(9, ["entry-2", "entry-3", "entry-4", "entry-5"])
+            time.sleep(1.5)
+            fleet.pause("entry-1")
+            fleet.set_roster(["entry-2", "entry-3", "entry-4"])
+            fleet.apply()
+            time.sleep(HANDOVER_S + 1.5)
+            self.check_limit(fleet)
+            fleet.resume("entry-1")
+            fleet.whole_share()
+            self.check_limit(fleet)
+            view = fleet.connections()
+            self.assertLessEqual(max(entry["now"] for entry in view.values()), 3)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/Tests/Net/TestHttpClientPool.cpp
+++ b/Tests/Net/TestHttpClientPool.cpp
@@ -236,3 +236,38 @@
     CHECK(time >= 80_ms);
     CHECK(time < 300_ms);
 }
+
+// Guards against connections to a target that this node no longer carries, which the target counts against the fleet.
+TEST(HttpClientPool, LimitClosesIdleConnectionsAtOnceAndBusyOnesAfterTheirExchange)
+{
+    this->send("one", HttpExchange::Repeat::Forbidden, 2);
+    auto busy = this->accept();
+    this->send("two", HttpExchange::Repeat::Forbidden, 2);
+    auto idle = this->accept();
+    busy.receiveUntilText(this->loop, 500_ms, "one");
+    idle.receiveUntilText(this->loop, 500_ms, "two");
+    idle.send(response("second"));
+    this->waitForResults(1);
+    this->pool->limit(this->listener.address(), 0);
+    LONGS_EQUAL(1, this->pool->openConnections(this->listener.address()));
+    CHECK(idle.receiveUntilClosed(this->loop, 1000_ms) < 50_ms);
+    CHECK(idle.closed);
+    busy.send(response("first"));
+    this->waitForResults(2);
+    this->checkResult(1, HttpTransport::Answered);
+    LONGS_EQUAL(0, this->pool->openConnections(this->listener.address()));
+    busy.receiveUntilClosed(this->loop, 1000_ms);
+    CHECK(busy.closed);
+}
+
+// Guards against exchanges that wait until their deadline for a connection that will never be opened.
+TEST(HttpClientPool, LimitOfZeroEndsWaitingExchanges)
+{
+    this->send("one");
+    auto peer = this->accept();
+    this->send("two");
+    this->pool->limit(this->listener.address(), 0);
+    auto const time = this->waitForResults(1);
+    CHECK(time < 100_ms);
+    this->checkResult(0, HttpTransport::NoConnection);
+}
