Believe "not started" only from an answer that names the attempt

Error bodies of a target did not echo the attempt, so a crossed 503 or 410 of another attempt made a command that had started count as "not run", and the coordinator sent it to another replica. The target stand-in now echoes the attempt in error bodies. For a command the reader requires the echo; without it the result is TargetError, so the outcome is unknown. The case of the unit test without echo counted as Shed and SnapshotGone before.

--- a/Libraries/Bench/TargetStandIn.cpp
+++ b/Libraries/Bench/TargetStandIn.cpp
@@ -158,18 +158,18 @@
         && Poco::NumberParser::tryParseFloat(
             header.get("Toucan-Deadline-Ms", std::to_string(defaultDeadlineMs)), deadline);
     if (!readable || execution->attempt.empty() || isCommand == execution->requestKey.empty())
-        return this->refuse(session, statusBadRequest, "bad-request");
+        return this->refuse(*execution, statusBadRequest, "bad-request");
     if (this->refusesNewWork()) {
         this->record(*execution, "refused", "draining");
         ++this->counters.shed;
-        return this->refuse(session, statusUnavailable, "draining");
+        return this->refuse(*execution, statusUnavailable, "draining");
     }
     if (!this->holds(execution->snapshot, execution->shard)) {
         ++this->counters.gone;
-        return this->refuse(session, statusGone, "snapshot-gone");
+        return this->refuse(*execution, statusGone, "snapshot-gone");
     }
     if (deadline <= 0)
-        return this->refuse(session, statusDeadline, "deadline-exceeded");
+        return this->refuse(*execution, statusDeadline, "deadline-exceeded");
     execution->deadlineTimer = this->loop.schedule(Clock::now() + Milliseconds { deadline },
         [this, execution] { this->whenNotStalled([this, execution] { this->onDeadline(execution); }); });
     this->submit(execution);
@@ -186,7 +186,7 @@
     }
     ++this->counters.shed;
     this->loop.cancel(execution->deadlineTimer);
-    this->refuse(execution->session, statusUnavailable, "overloaded");
+    this->refuse(*execution, statusUnavailable, "overloaded");
 }
 
 void TargetStandIn::start(ExecutionPointer const& execution)
@@ -213,7 +213,7 @@
         ++this->counters.gone;
         this->loop.cancel(next->deadlineTimer);
         this->attempts.erase(next->attempt);
-        this->refuse(next->session, statusGone, "snapshot-gone");
+        this->refuse(*next, statusGone, "snapshot-gone");
     }
 }
 
@@ -257,6 +257,7 @@
         answer.emplace_back("Toucan-Started", "no");
     Json::Value body;
     body["type"] = std::string(outcome);
+    body["attempt"] = execution->attempt;
     execution->session->respond(status, answer, writeJson(body));
     this->startQueued();
 }
@@ -287,6 +288,21 @@
 }
 
 void TargetStandIn::refuse(std::shared_ptr<HttpSession> const& session, int status, std::string_view type)
+{
+    Json::Value body;
+    body["type"] = std::string(type);
+    this->respondRefusal(session, status, body);
+}
+
+void TargetStandIn::refuse(Execution const& execution, int status, std::string_view type)
+{
+    Json::Value body;
+    body["type"] = std::string(type);
+    body["attempt"] = execution.attempt;
+    this->respondRefusal(execution.session, status, body);
+}
+
+void TargetStandIn::respondRefusal(std::shared_ptr<HttpSession> const& session, int status, Json::Value const& body)
 {
     auto answer = this->fields();
     answer.emplace_back("Toucan-Started", "no");
@@ -295,8 +311,6 @@
         auto const retryAfter = std::ceil(this->profile.serviceTime.value * this->slowFactor * waiting);
         answer.emplace_back("Retry-After-Ms", std::to_string(static_cast<uint64_t>(retryAfter)));
     }
-    Json::Value body;
-    body["type"] = std::string(type);
     session->respond(status, answer, writeJson(body));
 }
 
--- a/Libraries/Bench/TargetStandIn.h
+++ b/Libraries/Bench/TargetStandIn.h
@@ -101,7 +101,10 @@
     /// Ends a queued or running execution with an error status.
     void abort(ExecutionPointer const& execution, int status, std::string_view outcome);
     void release(ExecutionPointer const& execution);
+    /// Refuses a request that is no attempt.
     void refuse(std::shared_ptr<HttpSession> const& session, int status, std::string_view type);
+    void refuse(Execution const& execution, int status, std::string_view type);
+    void respondRefusal(std::shared_ptr<HttpSession> const& session, int status, Json::Value const& body);
     void record(Execution const& execution, std::string_view kind, std::string_view outcome);
     void recordState(std::string_view state);
     void unstall();
--- a/Libraries/Engine/AnswerReader.cpp
+++ b/Libraries/Engine/AnswerReader.cpp
@@ -42,6 +42,13 @@
     return member.isString() ? member.asString() : std::string();
 }
 
+/// A crossed refusal of another attempt must not let a command that did start run again.
+static bool deniesWithoutEcho(TargetAnswer const& answer, PartRequest const& request, PartStatus status)
+{
+    return answer.transport == TargetAnswer::Transport::Answered && request.idempotence == Idempotence::NonIdempotent
+        && certainlyNotRun(status) && !(answer.body.isObject() && answer.body.isMember("attempt"));
+}
+
 /// Error bodies need not echo the attempt, but an answer that names another attempt is never this one's.
 static bool namesOtherAttempt(Json::Value const& body, PartRequest const& request, PartStatus status)
 {
@@ -71,6 +78,8 @@
     }
     if (echoCheck == Feature::On && namesOtherAttempt(answer.body, request, result.status))
         result.status = PartStatus::Mismatch;
+    else if (echoCheck == Feature::On && deniesWithoutEcho(answer, request, result.status))
+        result.status = PartStatus::TargetError;
     if (result.status == PartStatus::Complete)
         result.hits = std::move(answer.body["hits"]);
     return result;
--- a/Tests/Engine/TestCarrier.cpp
+++ b/Tests/Engine/TestCarrier.cpp
@@ -240,3 +240,25 @@
     broken.transport = TargetAnswer::Transport::Broken;
     expect(std::move(broken), PartStatus::ConnectionLost);
 }
+
+// Guards against another attempt's "not started" that lets a command which did start run again at another replica.
+TEST(Carrier, CommandIsNotRunOnlyWhenTheAnswerNamesItsAttempt)
+{
+    auto const statusOf = [&](std::string const& attempt, Json::Value const& echo, int status) {
+        // The back-off after the refusal before has passed.
+        now += 1000_ms;
+        submit(attempt, 1, 50_ms, Idempotence::NonIdempotent);
+        auto refusal = makeAnswer(attempt, status);
+        refusal.startedDenied = true;
+        if (!echo.isNull())
+            refusal.body["attempt"] = echo;
+        carrier.onTargetAnswer(std::move(refusal), now);
+        return results.back().status;
+    };
+    for (int status : { 503, 410 }) {
+        auto const name = [status](char const* text) { return text + std::to_string(status); };
+        CHECK(certainlyNotRun(statusOf(name("named"), name("named"), status)));
+        CHECK(statusOf(name("silent"), {}, status) == PartStatus::TargetError);
+        CHECK(statusOf(name("crossed"), "another", status) == PartStatus::Mismatch);
+    }
+}
--- a/Tests/Integration/test_target_standin.py
+++ b/Tests/Integration/test_target_standin.py
@@ -56,6 +56,8 @@
         shed = next(answer for answer in answers if answer.status == 503)
         self.assertEqual(shed.headers["toucan-started"], "no")
         self.assertGreater(int(shed.headers["retry-after-ms"]), 0)
+        # A command believes "not started" only when the answer names its attempt.
+        self.assertIn(shed.body["attempt"], [f"t/1/{number}" for number in range(10)])
         self.assertEqual(self.fleet.target_counters()[self.name]["slotsPeak"], 2)
 
     def test_connections_beyond_the_limit_are_refused_and_counted(self):
