Refuse to change the number of key ranges in force

Nodes that hash keys to different ranges could each own a key and run it twice, while a node keeps the number that it started with. tgctl apply compares fleet.keyRanges with the stored configuration and refuses another number with a remedy; before, the unit test's apply was accepted as version 2.

--- a/Libraries/Operator/OperatorCommands.cpp
+++ b/Libraries/Operator/OperatorCommands.cpp
@@ -90,6 +90,23 @@
     return { this->hooks.createChangeId(), author, this->hooks.wallClock() };
 }
 
+static uint32_t keyRangesOf(Json::Value const& document)
+{
+    return document["fleet"].get("keyRanges", FleetDefinition {}.keyRanges).asUInt();
+}
+
+/// Nodes that hash keys to different ranges could run one key twice.
+static void refuseOtherKeyRanges(Json::Value const& inForce, Json::Value const& next)
+{
+    auto const before = std::to_string(keyRangesOf(inForce));
+    auto const after = std::to_string(keyRangesOf(next));
+    if (before == after)
+        return;
+    throw Error(ErrorKind::InvalidInput,
+        "fleet.keyRanges cannot change from " + before + " to " + after + " while a configuration is in force",
+        "Keep " + before + ". Another number needs an empty store: stop every node, wait 60 s, then apply");
+}
+
 ExitCode OperatorCommands::apply(
     std::vector<NamedText> const& files, std::string const& author, std::optional<uint64_t> expectedVersion)
 {
@@ -100,6 +117,8 @@
                      << ". Nothing was written. Compare with tgctl diff and apply again\n";
         return ExitCode::Conflict;
     }
+    if (stored.revision)
+        refuseOtherKeyRanges(readStoredDocument(*this->store, stored.root), merge.document());
     ConfigurationWriter writer(*this->store, this->hooks.pause);
     return this->reportWrite(writer.write(stored, splitDocument(merge.document()), this->createChange(author)));
 }
--- a/Tests/Operator/TestOperatorCommands.cpp
+++ b/Tests/Operator/TestOperatorCommands.cpp
@@ -131,6 +131,20 @@
     this->contains(this->errors, "2 errors; nothing was applied");
 }
 
+// Guards against two nodes that hash keys to different ranges, whose owners could each run one key.
+TEST(OperatorCommands, ApplyRefusesAnotherNumberOfKeyRanges)
+{
+    this->apply(files());
+    this->expectCode(ExitCode::CheckFailed, this->apply(files("{\"fleet\": {\"keyRanges\": 32}}")));
+    UNSIGNED_LONGS_EQUAL(1, this->store.transactions);
+    UNSIGNED_LONGS_EQUAL(1, this->root().version);
+    this->contains(this->errors, "fleet.keyRanges cannot change from 16 to 32");
+    this->contains(this->errors, "Keep 16");
+    // A missing member means 16.
+    this->expectCode(ExitCode::Ok, this->apply(files("{\"fleet\": {\"keyRanges\": 16, \"watchers\": 3}}")));
+    UNSIGNED_LONGS_EQUAL(2, this->root().version);
+}
+
 // Guards against telling the operator that a change failed when it is in force.
 TEST(OperatorCommands, LostAnswerOfAcceptedChangeIsReadBack)
 {
