Test P7 and P8 with rolling replacement, deaf and paused nodes and racing operators

Nothing showed that a planned stop cuts no request and that a version reaches every ready node within 3 s and never goes back. The failing runs are a stop without lag and drain, and a store whose answers are lost to all nodes.

--- a/Tests/Integration/promise_fleet.py
+++ b/Tests/Integration/promise_fleet.py
@@ -181,18 +181,13 @@
             yield f"P7 {line['kind']} {line['requestId']} at {line['node']}: {line['status']} {line['failure']}"
 
 
-class PromiseTest(unittest.TestCase):
-    """Starts one fleet per test and collects its histories."""
+class LoadedFleet:
+    """A fleet, its load and the histories of its callers."""
 
-    def create_fleet(self, **arguments):
-        """A fleet that is not started yet and that ends with the test."""
-        folder = tempfile.TemporaryDirectory()
-        self.addCleanup(folder.cleanup)
-        self.fleet = PromiseFleet(folder.name, **arguments)
-        self.addCleanup(self.fleet.stop)
+    def __init__(self, folder, **arguments):
+        self.fleet = PromiseFleet(folder, **arguments)
         self.histories = []
         self.sent = []
-        return self.fleet
 
     @contextlib.contextmanager
     def load(self, *mix, seconds, nodes=None, timeout_ms=5000):
@@ -210,7 +205,8 @@
         time.sleep(0.5)
         yield
         process.wait(seconds + timeout_ms / 1000 + 20)
-        self.assertEqual(process.returncode, 0, self.fleet.log_tail(f"load-{len(self.histories)}"))
+        if process.returncode:
+            raise RuntimeError(f"tg-load failed: {self.fleet.log_tail(f'load-{len(self.histories)}')}")
 
     def send_command(self, node, key, timeout_s=5):
         """Sends one command with a given key and adds it to the callers' history; returns its line."""
@@ -249,16 +245,29 @@
         """Ends the fleet and returns the breaches that the checker sees."""
         self.fleet.stop()
         targets = self.target_lines()
-        self.assertTrue(targets, "the targets have no history")
-        self.assertTrue(self.callers(), "the callers have no history")
+        if not targets or not self.callers():
+            raise RuntimeError("the targets or the callers have no history")
         return check_history.check(self.callers(), targets, self.fleet.shard_counts)
 
+
+class PromiseTest(unittest.TestCase):
+    """Starts one fleet per test and asks the checker."""
+
+    def create_fleet(self, **arguments):
+        """A fleet that is not started yet and that ends with the test."""
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.loaded = LoadedFleet(folder.name, **arguments)
+        self.fleet = self.loaded.fleet
+        self.addCleanup(self.fleet.stop)
+        return self.fleet
+
     def assert_kept(self):
         """The checker sees no breach of any promise."""
-        breaches = self.breaches()
+        breaches = self.loaded.breaches()
         self.assertEqual(breaches[:5], [], f"{len(breaches)} breaches")
 
     def assert_broken(self, promise):
         """The checker sees a breach of the given promise; a check that never fails would prove nothing."""
-        breaches = [breach for breach in self.breaches() if breach.startswith(promise)]
+        breaches = [breach for breach in self.loaded.breaches() if breach.startswith(promise)]
         self.assertTrue(breaches, f"no breach of {promise} was reported")
--- a/Tests/Integration/test_promises.py
+++ b/Tests/Integration/test_promises.py
@@ -1,9 +1,12 @@
 """The promises P1 to P8 of docs/design.md, section 1.1, with real processes and faults; see docs/PROOFS.md."""
 
 import concurrent.futures
+import json
+import re
+import signal
 import time
 
-from promise_fleet import COMMANDED, QUERIED, PromiseTest, uuid7
+from promise_fleet import COMMANDED, QUERIED, PromiseTest, VersionWatch, check_uncut, uuid7
 
 
 def queries(rate=60, **members):
@@ -25,15 +28,15 @@
         fleet.rule_of(QUERIED)["minimumCoverage"] = 0.3
         fleet.start()
         first, second = fleet.configuration["services"][QUERIED]["snapshots"]["s1"]["shards"][0]
-        with self.load(queries(), seconds=5):
+        with self.loaded.load(queries(), seconds=5):
             time.sleep(1)
             fleet.target_control(first, crash=True)
             time.sleep(1)
             fleet.target_control(second, crash=True)
             time.sleep(1)
             fleet.target_control(first, crash=False)
-        partial = [line for line in self.answered() if not line["coverage"]["whole"]]
-        whole = [line for line in self.answered() if line["coverage"]["whole"]]
+        partial = [line for line in self.loaded.answered() if not line["coverage"]["whole"]]
+        whole = [line for line in self.loaded.answered() if line["coverage"]["whole"]]
         self.assertTrue(partial, "no partial answer while a shard was lost")
         self.assertGreater(len(whole), 100)
         self.assertEqual({shard for line in partial for shard in line["coverage"]["missing"]}, {0})
@@ -44,7 +47,7 @@
         fleet = self.create_fleet(proxied=["targets"])
         fleet.start()
         names = fleet.targets_of(QUERIED)
-        with self.load(queries(), seconds=4):
+        with self.loaded.load(queries(), seconds=4):
             for _ in range(6):
                 for name in names:
                     fleet.target_control(name, truncate=2)
@@ -52,11 +55,11 @@
             fleet.proxy_control(names[0], truncateAfter=300)
             time.sleep(0.5)
             fleet.proxy_control(names[0])
-        self.assertGreater(len(self.answered()), 100)
+        self.assertGreater(len(self.loaded.answered()), 100)
         truncated = sum(route["truncated"] for route in fleet.proxy_counters().values())
         self.assertGreater(truncated, 0)
         self.assert_kept()
-        self.assertGreater(sum(line["outcome"] == "truncated" for line in self.target_lines()), 20)
+        self.assertGreater(sum(line["outcome"] == "truncated" for line in self.loaded.target_lines()), 20)
 
     def cross_answers(self, echo_check):
         """Load while the proxy exchanges, duplicates and delays the answers of all targets."""
@@ -64,7 +67,7 @@
         fleet.rule_of(QUERIED).update(echoCheck=echo_check, minimumCoverage=0.3, deadlineMs=300)
         fleet.set_snapshot(QUERIED, "s1", 1, 6)
         fleet.start()
-        with self.load(queries(150), seconds=4):
+        with self.loaded.load(queries(150), seconds=4):
             for name in fleet.targets_of(QUERIED):
                 fleet.proxy_control(name, reorder=0.2, duplicate=0.1, delayMs=5, jitterMs=30)
             time.sleep(3)
@@ -73,7 +76,7 @@
         counters = fleet.proxy_counters().values()
         self.assertGreater(sum(route["reordered"] for route in counters), 20)
         self.assertGreater(sum(route["duplicated"] for route in counters), 20)
-        self.assertGreater(len(self.answered()), 100)
+        self.assertGreater(len(self.loaded.answered()), 100)
 
     def test_crossed_duplicated_and_late_answers_reach_nobody_else(self):
         """Guards against hits of another caller's request and against a shard that is counted for a foreign part."""
@@ -95,7 +98,7 @@
         fleet = self.create_fleet(proxied=["targets"])
         fleet.rule_of(QUERIED)["minimumCoverage"] = 0.3
         fleet.start()
-        with self.load(queries(100), seconds=7):
+        with self.loaded.load(queries(100), seconds=7):
             for sequence, shard_count in ((2, 5), (3, 2), (4, 6)):
                 time.sleep(0.5)
                 fleet.add_snapshot(QUERIED, f"s{sequence}", sequence, shard_count)
@@ -106,7 +109,7 @@
             # The newest snapshot is lost before the configuration says so: queries go back to one that is complete.
             fleet.add_snapshot(QUERIED, "s3", 3, 2)
             fleet.drop_snapshot(QUERIED, "s4")
-        seen = {line["snapshot"] for line in self.answered()}
+        seen = {line["snapshot"] for line in self.loaded.answered()}
         self.assertGreaterEqual(seen, {"s1", "s2", "s3", "s4"})
         self.assert_kept()
 
@@ -121,12 +124,12 @@
         fleet.start()
         for name in fleet.targets_of(QUERIED):
             fleet.proxy_control(name, reorder=0.5)
-        with self.load(queries(80), seconds=4):
+        with self.loaded.load(queries(80), seconds=4):
             for sequence in range(2, 8):
                 fleet.add_snapshot(QUERIED, f"s{sequence}", sequence, 3)
                 fleet.apply()
                 time.sleep(0.4)
-        self.assertGreaterEqual(len({line["snapshot"] for line in self.answered()}), 5)
+        self.assertGreaterEqual(len({line["snapshot"] for line in self.loaded.answered()}), 5)
 
     def test_crossed_answers_of_two_snapshots(self):
         """Guards against a late part of the old snapshot in an answer of the new one."""
@@ -147,9 +150,9 @@
         fleet = self.create_fleet()
         fleet.rule_of(COMMANDED)["atMostOnce"] = at_most_once
         fleet.start()
-        with self.load(commands(), seconds=3):
+        with self.loaded.load(commands(), seconds=3):
             pass
-        self.assertGreater(self.outcomes("command")["ran"], 100)
+        self.assertGreater(self.loaded.outcomes("command")["ran"], 100)
 
     def test_duplicates_at_two_nodes(self):
         """Guards against a command that runs once per node."""
@@ -172,15 +175,15 @@
             settings["serviceMs"] = 60
         fleet.start()
         names = fleet.targets_of(COMMANDED)
-        with self.load(commands(200), queries(100), seconds=4):
+        with self.loaded.load(commands(200), queries(100), seconds=4):
             fleet.target_control(names[0], crash=True)
             fleet.target_control(names[1], state="draining", drainGraceMs=0)
             time.sleep(1)
             fleet.target_control(names[0], crash=False)
             fleet.target_control(names[1], state="serving")
-        self.assertGreater(self.outcomes("command")["not-run"], 50)
-        self.assertGreater(self.outcomes("query")["not-run"], 20)
-        self.assertGreater(self.outcomes("command")["ran"], 50)
+        self.assertGreater(self.loaded.outcomes("command")["not-run"], 50)
+        self.assertGreater(self.loaded.outcomes("query")["not-run"], 20)
+        self.assertGreater(self.loaded.outcomes("command")["ran"], 50)
 
     def test_not_run_under_overload(self):
         """Guards against a refusal that says "not run" after a part or a duplicate has started."""
@@ -196,7 +199,7 @@
         """Guards against a second owner, or none, when the store is away, slow or loses the answers to writes."""
         fleet = self.create_fleet()
         fleet.start()
-        with self.load(commands(), queries(), seconds=12):
+        with self.loaded.load(commands(), queries(), seconds=12):
             fleet.platform_control(outage=True)
             time.sleep(4)
             fleet.platform_control(outage=False, loseWriteAnswers=6)
@@ -204,7 +207,7 @@
             fleet.platform_control(delayMs=700)
             time.sleep(2)
             fleet.platform_control(delayMs=0)
-        outcomes = self.outcomes("command")
+        outcomes = self.loaded.outcomes("command")
         self.assertGreater(outcomes["ran"], 0.9 * sum(outcomes.values()), outcomes)
         self.assert_kept()
 
@@ -213,25 +216,25 @@
         fleet = self.create_fleet(nodes=4)
         fleet.start()
         started = time.monotonic()
-        with self.load(commands(30), seconds=38):
+        with self.loaded.load(commands(30), seconds=38):
             time.sleep(1.5)
             keys = [uuid7() for _ in range(30)]
             with concurrent.futures.ThreadPoolExecutor(30) as pool:
-                waiting = [pool.submit(self.send_command, "entry-1", key) for key in keys]
+                waiting = [pool.submit(self.loaded.send_command, "entry-1", key) for key in keys]
                 fleet.pause("entry-1")
                 fleet.kill("entry-2")
                 for key in keys:
-                    pool.submit(self.send_command, "entry-3", key)
+                    pool.submit(self.loaded.send_command, "entry-3", key)
                 del waiting
             time.sleep(max(0.0, started + 35 - time.monotonic()))
             late = [uuid7() for _ in range(30)]
             with concurrent.futures.ThreadPoolExecutor(30) as pool:
                 for key in late:
-                    pool.submit(self.send_command, "entry-4", key)
+                    pool.submit(self.loaded.send_command, "entry-4", key)
                 fleet.resume("entry-1")
                 for key in keys + late:
-                    pool.submit(self.send_command, "entry-1", key)
-        resumed = [line for line in self.sent if line["requestKey"] in late]
+                    pool.submit(self.loaded.send_command, "entry-1", key)
+        resumed = [line for line in self.loaded.sent if line["requestKey"] in late]
         self.assertGreater(sum(line["outcome"] == "ran" for line in resumed), 15)
         self.assert_kept()
 
@@ -245,11 +248,11 @@
         fleet.rule_of(QUERIED).update(minimumCoverage=0.3, deadlineMs=200, ejection=ejection)
         fleet.start()
         name = fleet.targets_of(QUERIED)[0]
-        with self.load(queries(), seconds=6):
+        with self.loaded.load(queries(), seconds=6):
             if deaf:
                 fleet.proxy_control(name, blackhole="toCaller")
             fleet.target_control(name, state="draining", drainGraceMs=60000)
-        self.assertGreater(len(self.answered()), 100)
+        self.assertGreater(len(self.loaded.answered()), 100)
 
     def test_draining_state(self):
         """Guards against work for a target that says it drains."""
@@ -267,11 +270,137 @@
         fleet.rule_of(QUERIED)["minimumCoverage"] = 0.3
         fleet.start()
         name = fleet.targets_of(QUERIED)[0]
-        with self.load(queries(), seconds=5):
+        with self.loaded.load(queries(), seconds=5):
             run = fleet.tgctl("drain", name)
             drained = time.time() * 1000
             self.assertEqual(run.returncode, 0, run.stdout + run.stderr)
         self.assert_kept()
-        starts = [line["time"] for line in self.target_lines() if line["target"] == name and line["kind"] == "start"]
+        starts = [line["time"] for line in self.loaded.target_lines() if line["target"] == name and line["kind"] == "start"]
         self.assertTrue(starts)
         self.assertLess(max(starts), drained + 3000)
+
+
+class PlannedStopTest(PromiseTest):
+    """P7: a planned stop cuts no request."""
+
+    def replace_nodes(self, stop_settings, names, seconds):
+        """Stops each named node once under load, with SIGTERM twice, and starts it anew; returns the exit codes."""
+        fleet = self.create_fleet()
+        fleet.stop_settings = stop_settings
+        for settings in fleet.target_settings.values():
+            settings.update(serviceMs=100, slots=8)
+        for service in fleet.configuration["services"].values():
+            for target in service["targets"].values():
+                target["slots"] = 8
+        fleet.start()
+        exit_codes = []
+        with self.loaded.load(queries(40), commands(20, duplicates=0), seconds=seconds):
+            time.sleep(1)
+            for name in names:
+                fleet.signal(name, signal.SIGTERM)
+                time.sleep(0.3)
+                fleet.signal(name, signal.SIGTERM)
+                exit_codes.append(fleet.wait_exit(name))
+                fleet.start_node(name)
+                fleet.wait_ready(name)
+                # The stand-in for the balancer polls every 500 ms.
+                time.sleep(0.6)
+        return exit_codes
+
+    def test_rolling_replacement(self):
+        """Guards against requests that are cut when a VM is replaced, and against a second SIGTERM that ends at once."""
+        names = ["entry-1", "entry-2", "entry-3"]
+        self.assertEqual(self.replace_nodes({"balancerLagMs": 1200, "drainMs": 10000}, names, 17), [0, 0, 0])
+        self.assertEqual(list(check_uncut(self.loaded.callers()))[:5], [])
+        outcomes = self.loaded.outcomes("command")
+        self.assertGreater(outcomes["ran"], 0.8 * sum(outcomes.values()), outcomes)
+        self.assert_kept()
+
+    def test_check_fails_without_drain(self):
+        """Guards against a check that does not see cut requests (P7): the nodes neither wait nor drain."""
+        self.replace_nodes({"balancerLagMs": 0, "drainMs": 0}, ["entry-1"], 3)
+        self.assertTrue(list(check_uncut(self.loaded.callers())), "no breach of P7 was reported")
+
+
+class ConfigurationTest(PromiseTest):
+    """P8: an accepted configuration is in force everywhere within 3 s and never reverts."""
+
+    def change(self, watch, number):
+        """Applies a change of one rule and notes the accepted version."""
+        self.fleet.rule_of(QUERIED)["queueLimit"] = 100 + number
+        match = re.search(r"version (\d+)", self.fleet.apply())
+        watch.note_accepted(int(match.group(1)))
+
+    def test_change_reaches_all_nodes(self):
+        """Guards against a node that keeps an old version, goes back, or serves although it is cut off or paused."""
+        fleet = self.create_fleet(nodes=5, proxied=["peers"])
+        fleet.give_own_store_route("entry-5")
+        fleet.start()
+        with VersionWatch(fleet) as watch:
+            for number in range(4):
+                self.change(watch, number)
+                time.sleep(0.3)
+            # Deaf: nothing from the store or from peers arrives, while the node itself is still heard.
+            fleet.proxy_control("entry-5", cut=True)
+            fleet.proxy_control("store-entry-5", cut=True)
+            fleet.pause("entry-4")
+            for number in range(4, 8):
+                self.change(watch, number)
+                time.sleep(1)
+            self.assertIsNone(fleet.serving_version("entry-5"), "a deaf node says that it is ready")
+            watch.note_resumed("entry-4")
+            fleet.resume("entry-4")
+            watch.note_resumed("entry-5")
+            fleet.proxy_control("entry-5")
+            fleet.proxy_control("store-entry-5")
+            time.sleep(3.3)
+            fleet.kill("entry-1")
+            fleet.start_node("entry-1")
+            self.change(watch, 9)
+            time.sleep(3.3)
+        self.assertEqual(list(watch.breaches())[:5], [])
+        newest = watch.accepted[-1].version
+        self.assertEqual({name: fleet.serving_version(name) for name in fleet.nodes}, dict.fromkeys(fleet.nodes, newest))
+
+    def test_check_fails_without_watch(self):
+        """Guards against a check that does not see a late version (P8): no node learns anything from the store."""
+        fleet = self.create_fleet(proxied=["store"])
+        fleet.start()
+        with VersionWatch(fleet) as watch:
+            time.sleep(0.5)
+            fleet.proxy_control("store", blackhole="toCaller")
+            self.change(watch, 1)
+            time.sleep(4)
+        self.assertTrue([breach for breach in watch.breaches() if breach.startswith("P8")])
+
+    def test_racing_operators(self):
+        """Guards against a change that is lost, accepted twice or half, when operators race and answers are lost."""
+        fleet = self.create_fleet()
+        fleet.start()
+        folders = [fleet.copy_configuration(f"operator-{index}") for index in range(2)]
+        accepted = []
+
+        def operate(index):
+            for number in range(6):
+                path = folders[index] / "10-rules.json"
+                rules = json.loads(path.read_text(encoding="utf-8"))
+                rules["rules"]["packing"]["queueLimit"] = 100 + 2 * number + index
+                path.write_text(json.dumps(rules), encoding="utf-8")
+                run = fleet.tgctl("apply", folders[index], "--author", f"operator-{index}")
+                self.assertIn(run.returncode, (0, 3, 5), run.stdout + run.stderr)
+                if run.returncode == 0:
+                    accepted.append(int(re.search(r"version (\d+)", run.stdout).group(1)))
+
+        with VersionWatch(fleet) as watch:
+            fleet.platform_control(loseWriteAnswers=2)
+            with concurrent.futures.ThreadPoolExecutor(2) as pool:
+                list(pool.map(operate, range(2)))
+            watch.note_accepted(max(accepted))
+            time.sleep(3.2)
+        self.assertEqual(list(watch.breaches())[:5], [])
+        self.assertGreaterEqual(len(accepted), 6)
+        self.assertEqual(len(accepted), len(set(accepted)), "one version was accepted for two changes")
+        history = [int(number) for number in re.findall(r"version (\d+)", fleet.tgctl("history").stdout)]
+        self.assertEqual(len(history), len(set(history)))
+        self.assertLessEqual(set(accepted), set(history))
+        self.assertEqual({fleet.serving_version(name) for name in fleet.nodes}, {max(history)})
