--- a/Tests/Integration/test_promises.py
+++ b/Tests/Integration/test_promises.py
@@ -2,11 +2,17 @@
 
 import concurrent.futures
 import json
+import pathlib
 import re
 import signal
+import sys
 import time
+import unittest
 
-from promise_fleet import COMMANDED, QUERIED, PromiseTest, VersionWatch, check_uncut, uuid7
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[2] / "Scripts"))
+
+import mixed_faults  # noqa: E402  (the path is set above)
+from promise_fleet import COMMANDED, QUERIED, PromiseTest, VersionWatch, check_uncut, uuid7  # noqa: E402
 
 
 def queries(rate=60, **members):
@@ -404,3 +410,13 @@
         self.assertEqual(len(history), len(set(history)))
         self.assertLessEqual(set(accepted), set(history))
         self.assertEqual({fleet.serving_version(name) for name in fleet.nodes}, {max(history)})
+
+
+class MixedFaultsTest(unittest.TestCase):
+    """All promises under pairs of faults; Scripts/mixed_faults.py runs other seeds."""
+
+    def test_seeds(self):
+        """Guards against faults that are harmless alone and break a promise together."""
+        for seed in (1, 2, 3):
+            with self.subTest(seed=seed):
+                self.assertEqual(mixed_faults.run(seed, rounds=3, report=lambda _: None)[:5], [])
