--- a/Tests/Engine/TestCarrier.cpp
+++ b/Tests/Engine/TestCarrier.cpp
@@ -2,6 +2,8 @@
 
 #include "Engine/Carrier.h"
 
+#include <algorithm>
+
 #include "CppUTest/TestHarness.h"
 
 using namespace Toucan;
@@ -135,6 +137,36 @@
     LONGS_EQUAL(3, calls.size());
 }
 
+// Guards against slots lost under overload to parts that start before their deadline and end after it.
+TEST(Carrier, DoesNotSendQueuedPartsThatCannotFinish)
+{
+    submit("p0");
+    now += 10_ms;
+    answer("p0");
+    submit("p1");
+    submit("p2");
+    submit("refused", 1, 10_ms);
+    STRCMP_EQUAL("refused", results.back().attempt.c_str());
+    CHECK(PartStatus::Refused == results.back().status);
+    submit("late", 1, 25_ms);
+    submit("p3", 1, 100_ms);
+    now += 15_ms;
+    answer("p1");
+    auto const late = std::ranges::find(results, "late", &PartResult::attempt);
+    CHECK(late != results.end() && late->status == PartStatus::ExpiredInQueue);
+    STRCMP_EQUAL("p3", calls.back().part.attempt.c_str());
+}
+
+// Guards against a target that gets no work any more because it was once slower than the deadlines.
+TEST(Carrier, TargetThatWasSlowIsTriedAgain)
+{
+    submit("p0", 1, 1000_ms);
+    now += 500_ms;
+    answer("p0");
+    submit("p1");
+    STRCMP_EQUAL("p1", calls.back().part.attempt.c_str());
+}
+
 // Guards against a limit that ignores shed answers, that falls to zero, or that never grows back.
 TEST(Carrier, SlotLimitFollowsShedAnswers)
 {
@@ -240,3 +272,30 @@
     broken.transport = TargetAnswer::Transport::Broken;
     expect(std::move(broken), PartStatus::ConnectionLost);
 }
+
+// Guards against a node that keeps dialling a target, or never starts to, after a change of the roster or of the
+// target's failure domain.
+TEST(Carrier, FollowsChangesOfRosterAndFailureDomain)
+{
+    auto const carries = [&](AttemptId const& attempt) {
+        configuration.value.version += 1;
+        carrier.setConfiguration(configuration.pointer(), now);
+        auto const before = calls.size();
+        submit(attempt);
+        bool const sent = calls.size() > before;
+        answer(attempt);
+        return sent;
+    };
+    configuration.value.fleet.carriersPerTarget = 1;
+    CHECK(carries("p1"));
+    configuration.value.fleet.nodes["n2"] = { "n2", "d2" };
+    CHECK(carries("p2"));
+    configuration.target("a").failureDomain = "d2";
+    CHECK(!carries("p3"));
+    configuration.value.fleet.carriersPerTarget = 2;
+    CHECK(carries("p4"));
+    configuration.value.fleet.nodes["n3"] = { "n3", "d2" };
+    CHECK(!carries("p5"));
+    configuration.value.fleet.nodes.erase("n3");
+    CHECK(carries("p6"));
+}
