Send five member entries in a digest instead of eight

Change: memberEntriesPerDigest is 5: three recent and two random entries. measure_capacity.py also prints the bytes that a change costs.

--- a/Libraries/Engine/DigestExchange.cpp
+++ b/Libraries/Engine/DigestExchange.cpp
@@ -7,7 +7,9 @@
 
 namespace Toucan {
 
-static constexpr size_t memberEntriesPerDigest = 8;
+/// With 8 entries a digest has about 1,060 bytes, and four digests a second leave no room for configuration changes in
+/// the bound of 5 KB/s per node.
+static constexpr size_t memberEntriesPerDigest = 5;
 static constexpr uint32_t leavingTargetsPerDigest = 32;
 /// A target that no reader of the VM list has confirmed as leaving for this time is no longer spread.
 static constexpr auto leavingLifetime = 10'000_ms;
--- a/Scripts/measure_capacity.py
+++ b/Scripts/measure_capacity.py
@@ -13,6 +13,7 @@
 import http.client
 import json
 import os
+import pathlib
 import re
 import statistics
 import subprocess
@@ -190,7 +191,14 @@
         result = measure_quiet(fleet, seconds)
         result["variant"] = variant
         if changes:
+            before, started = sample(fleet), time.monotonic()
             result["configuration"] = ChangeTimer(fleet, fleet.nodes).run(changes)
+            after, elapsed = sample(fleet), time.monotonic() - started
+            # Above the traffic without changes.
+            result["configuration"]["sentBytesPerNodeAndChange"] = {
+                kind: round((growth(before, after, 1, f"toucan_frame_bytes_sent_{kind}_total")
+                             - result["controlBytesPerSecondByKind"][kind] * elapsed) / changes)
+                for kind in ("digest", "fetch", "fetched")}
     return result
 
 
@@ -293,7 +301,8 @@
     """Output of tg-bench for the fleet in two years and for smaller ones, to show what grows."""
     result = []
     for nodes, targets in ((470, 2500), (120, 2500), (470, 1600)):
-        run = subprocess.run([ROOT / "build" / "tg-bench", "--nodes", str(nodes), "--targets", str(targets)],
+        build = pathlib.Path(os.environ.get("TOUCAN_BUILD", ROOT / "build"))
+        run = subprocess.run([build / "tg-bench", "--nodes", str(nodes), "--targets", str(targets)],
                              capture_output=True, text=True, timeout=120, check=True)
         result.append(json.loads(run.stdout) | {"loadAverage": load_average()})
     return result
