Simulate the spread of configuration versions over a whole fleet

Cause: fleets of processes reach 60 nodes here, and the time until a version is in force grows with the fleet.

--- a/Programs/tg-bench/main.cpp
+++ b/Programs/tg-bench/main.cpp
@@ -2,6 +2,7 @@
 #include "Engine/CarrierMap.h"
 #include "Engine/FrameCodec.h"
 #include "EngineFleet.h"
+#include "SpreadSimulation.h"
 
 #include <algorithm>
 #include <ctime>
@@ -424,8 +425,22 @@
         TCLAP::ValueArg<uint32_t> nodes("", "nodes", "Roster nodes", false, 470, "count", command);
         TCLAP::ValueArg<uint32_t> targets("", "targets", "Targets of all services", false, 2500, "count", command);
         TCLAP::ValueArg<uint32_t> perQuery("", "per-query", "Targets per query", false, 770, "count", command);
+        TCLAP::SwitchArg spread(
+            "", "spread", "Simulates how versions spread over the nodes, and nothing else", command);
+        TCLAP::ValueArg<double> installTime(
+            "", "install-ms", "Time of an install in the simulation", false, 25, "ms", command);
         command.parse(argumentCount, arguments);
         FleetSize const size { nodes.getValue(), targets.getValue(), perQuery.getValue() };
+        Json::StreamWriterBuilder builder;
+        builder["indentation"] = "  ";
+        builder["precision"] = 6;
+        if (spread.getValue()) {
+            SpreadSettings settings;
+            settings.nodes = size.nodes;
+            settings.installTime = { installTime.getValue() };
+            std::cout << Json::writeString(builder, SpreadSimulation(settings).run()) << '\n';
+            return 0;
+        }
         auto const document = fleetDocument(size);
         auto const update = updateOf(document, 1);
         Json::Value result;
@@ -440,9 +455,6 @@
         result["entry"] = measureEntry(size, update);
         result["carrier"].append(measureCarrier(size, update, 1));
         result["carrier"].append(measureCarrier(size, update, 8));
-        Json::StreamWriterBuilder builder;
-        builder["indentation"] = "  ";
-        builder["precision"] = 6;
         std::cout << Json::writeString(builder, result) << '\n';
         return 0;
     } catch (std::exception const& error) {
