Try a replica that stays slow less and less often

Cause: the latency of an untried replica fades with a half-life of 1 s, so each node tried the slow replica every few seconds; a hedged try that was cancelled earlier than the old latency counted for nothing, so the next part went there as well. Change: the half-life doubles up to 16 s with each try that finds the target slow again and returns to 1 s after a faster answer; a cancelled try that contradicts the faded latency restores the old one. Shared code: Libraries/Engine/TargetEvidence.

--- a/Libraries/Engine/TargetEvidence.cpp
+++ b/Libraries/Engine/TargetEvidence.cpp
@@ -6,7 +6,12 @@
 namespace Toucan {
 
 static constexpr double smoothing = 0.1;
-static constexpr Milliseconds latencyHalfLife { 1000 };
+/// The latency of an untried target fades with a half-life that doubles with each try that finds it slow again.
+/// With 1 s alone, each of 7 nodes tried a replica that is slow tenfold every 3 s, which decided the 99th percentile.
+static constexpr Milliseconds firstHalfLife { 1000 };
+static constexpr Milliseconds longestHalfLife { 16000 };
+/// A sample above this multiple of the faded latency, or below its inverse, is a change and no jitter.
+static constexpr double changeFactor = 2;
 /// Reports older than this say nothing about the present queue.
 static constexpr Milliseconds loadLifetime { 1000 };
 /// A lagging report of "serving" within this time does not undo "draining".
@@ -37,19 +42,49 @@
 
 void TargetEvidence::addLowerBound(Milliseconds elapsed, Milliseconds now)
 {
-    if (elapsed < this->latency)
+    auto const faded = this->fadedLatency(now);
+    if (elapsed < faded)
         return;
     ++this->answers;
-    this->smooth(elapsed, now);
+    if (elapsed >= this->latency) {
+        this->smooth(elapsed, now);
+        return;
+    }
+    // The attempt contradicts the faded latency and agrees with the old one, so the old one counts again.
+    if (elapsed > faded * changeFactor)
+        this->lengthenHalfLife();
+    this->lastSample = now;
+}
+
+void TargetEvidence::lengthenHalfLife()
+{
+    this->halfLife = std::min(longestHalfLife, std::max(firstHalfLife, this->halfLife) * 2);
+}
+
+void TargetEvidence::adaptHalfLife(Milliseconds sample, Milliseconds now)
+{
+    if (sample > this->fadedLatency(now) * changeFactor)
+        this->lengthenHalfLife();
+    else if (sample * changeFactor < this->latency)
+        this->halfLife = firstHalfLife;
+}
+
+Milliseconds TargetEvidence::fadedLatency(Milliseconds now) const
+{
+    auto const age = std::max(0.0, (now - this->lastSample).value);
+    auto const current = std::max(firstHalfLife, this->halfLife);
+    return this->latency * std::exp2(-age / current.value);
 }
 
 void TargetEvidence::smooth(Milliseconds sample, Milliseconds now)
 {
-    this->lastSample = now;
-    if (this->latency == Milliseconds {})
+    if (this->latency == Milliseconds {}) {
         this->latency = sample;
-    else
+    } else {
+        this->adaptHalfLife(sample, now);
         this->latency += (sample - this->latency) * smoothing;
+    }
+    this->lastSample = now;
 }
 
 void TargetEvidence::setState(TargetState next, Milliseconds now)
@@ -103,9 +138,7 @@
     auto const fresh = now - this->loadTime < loadLifetime;
     auto const queued = fresh ? this->load.queued + this->carrierQueue : 0;
     // A target that was slow once would never be tried again if its latency did not fade.
-    auto const age = std::max(0.0, (now - this->lastSample).value);
-    auto const faded = this->latency * std::exp2(-age / latencyHalfLife.value);
-    auto const expected = this->latency == Milliseconds {} ? fallbackLatency : faded;
+    auto const expected = this->latency == Milliseconds {} ? fallbackLatency : this->fadedLatency(now);
     auto const work = (this->inFlight + queued + 1.0) / std::max(1U, slots);
     return work * expected.value * this->slowStartFactor(now);
 }
--- a/Libraries/Engine/TargetEvidence.h
+++ b/Libraries/Engine/TargetEvidence.h
@@ -36,6 +36,10 @@
 
 private:
     void smooth(Milliseconds sample, Milliseconds now);
+    /// Lets the latency fade more slowly after a sample that shows a slow target slow again.
+    void adaptHalfLife(Milliseconds sample, Milliseconds now);
+    void lengthenHalfLife();
+    Milliseconds fadedLatency(Milliseconds now) const;
     double slowStartFactor(Milliseconds now) const;
 
     uint32_t inFlight { 0 };
@@ -44,6 +48,8 @@
     uint32_t answers { 0 };
     Milliseconds latency;
     Milliseconds lastSample;
+    /// Zero until the first try that found the target slow again.
+    Milliseconds halfLife;
     TargetLoad load;
     uint32_t carrierQueue { 0 };
     Milliseconds loadTime { -1e12 };
--- a/Tests/Engine/TestCoordinatorMechanisms.cpp
+++ b/Tests/Engine/TestCoordinatorMechanisms.cpp
@@ -258,3 +258,28 @@
     fast.addSuccess(4_ms, 6000_ms);
     CHECK(slow.cost(2, 1_ms, 6000_ms) < fast.cost(2, 1_ms, 6000_ms));
 }
+
+// Guards against a slow replica that is chosen again and again, because its cancelled attempts do not count.
+TEST(CoordinatorMechanisms, CancelledTryRestoresTheSlowLatency)
+{
+    TargetEvidence slow;
+    TargetEvidence fast;
+    slow.addSuccess(40_ms, 0_ms);
+    fast.addSuccess(4_ms, 4000_ms);
+    CHECK(slow.cost(2, 1_ms, 4000_ms) < fast.cost(2, 1_ms, 4000_ms));
+    slow.addLowerBound(12_ms, 4000_ms);
+    CHECK(slow.cost(2, 1_ms, 4000_ms) > fast.cost(2, 1_ms, 4000_ms));
+}
+
+// Guards against tries at a constant pace of a replica that stays slow.
+TEST(CoordinatorMechanisms, ReplicaThatStaysSlowIsTriedLessOften)
+{
+    TargetEvidence slow;
+    TargetEvidence fast;
+    slow.addSuccess(40_ms, 0_ms);
+    slow.addSuccess(40_ms, 4000_ms);
+    fast.addSuccess(4_ms, 8000_ms);
+    CHECK(slow.cost(2, 1_ms, 8000_ms) > fast.cost(2, 1_ms, 8000_ms));
+    fast.addSuccess(4_ms, 11000_ms);
+    CHECK(slow.cost(2, 1_ms, 11000_ms) < fast.cost(2, 1_ms, 11000_ms));
+}
