Bound the hedges of a fresh service

Change: a bucket starts with 6 tokens, and hedges leave 5 of them to retries, whose absence costs coverage.

--- a/Libraries/Engine/QueryRunner.cpp
+++ b/Libraries/Engine/QueryRunner.cpp
@@ -193,7 +193,7 @@
         *query.service, *query.rule, *query.snapshot, shard, progress.tried, Milliseconds { 1 }, now);
     if (!another)
         return;
-    if (!this->state.statisticsOf(query.service->name).extraLoad.tryTake()) {
+    if (!this->state.statisticsOf(query.service->name).extraLoad.tryTakeForHedge()) {
         progress.hedgeAt = now + retryPause;
         return;
     }
--- a/Tests/Engine/TestCoordinatorMechanisms.cpp
+++ b/Tests/Engine/TestCoordinatorMechanisms.cpp
@@ -2,6 +2,7 @@
 
 #include "Engine/LatencyHistogram.h"
 #include "Engine/TargetEvidence.h"
+#include "Engine/TokenBucket.h"
 
 #include "CppUTest/TestHarness.h"
 
@@ -141,6 +142,22 @@
     CHECK(extra <= 10 + (200 + 50) / 20);
 }
 
+// Guards against extra load above the budget in the first seconds of a node, when each service has its own bucket,
+// and against hedges that leave no token for the retries.
+TEST(CoordinatorMechanisms, HedgesOfAFreshServiceLeaveTheReserveToRetries)
+{
+    TokenBucket bucket;
+    CHECK(bucket.tryTakeForHedge());
+    CHECK(!bucket.tryTakeForHedge());
+    for (int index = 0; index < 20; ++index)
+        bucket.fill(0.0625);
+    CHECK(bucket.tryTakeForHedge());
+    CHECK(!bucket.tryTakeForHedge());
+    for (int index = 0; index < 5; ++index)
+        CHECK(bucket.tryTake());
+    CHECK(!bucket.tryTake());
+}
+
 // Guards against a retry storm: a refusal of a carrier ends the query at once while limits are on.
 TEST(CoordinatorMechanisms, NoRetryUnderOverload)
 {
