--- a/Tests/Engine/TestCoordinatorMechanisms.cpp
+++ b/Tests/Engine/TestCoordinatorMechanisms.cpp
@@ -2,6 +2,7 @@
 
 #include "Engine/LatencyHistogram.h"
 #include "Engine/TargetEvidence.h"
+#include "Engine/TokenBucket.h"
 
 #include "CppUTest/TestHarness.h"
 
@@ -141,6 +142,22 @@
     CHECK(extra <= 10 + (200 + 50) / 20);
 }
 
+// Guards against extra load above the budget in the first seconds of a node, when each service has its own bucket,
+// and against hedges that leave no token for the retries.
+TEST(CoordinatorMechanisms, HedgesOfAFreshServiceLeaveTheReserveToRetries)
+{
+    TokenBucket bucket;
+    CHECK(bucket.tryTakeForHedge());
+    CHECK(!bucket.tryTakeForHedge());
+    for (int index = 0; index < 20; ++index)
+        bucket.fill(0.0625);
+    CHECK(bucket.tryTakeForHedge());
+    CHECK(!bucket.tryTakeForHedge());
+    for (int index = 0; index < 5; ++index)
+        CHECK(bucket.tryTake());
+    CHECK(!bucket.tryTake());
+}
+
 // Guards against a retry storm: a refusal of a carrier ends the query at once while limits are on.
 TEST(CoordinatorMechanisms, NoRetryUnderOverload)
 {
@@ -258,3 +275,28 @@
     fast.addSuccess(4_ms, 6000_ms);
     CHECK(slow.cost(2, 1_ms, 6000_ms) < fast.cost(2, 1_ms, 6000_ms));
 }
+
+// Guards against a slow replica that is chosen again and again, because its cancelled attempts do not count.
+TEST(CoordinatorMechanisms, CancelledTryRestoresTheSlowLatency)
+{
+    TargetEvidence slow;
+    TargetEvidence fast;
+    slow.addSuccess(40_ms, 0_ms);
+    fast.addSuccess(4_ms, 4000_ms);
+    CHECK(slow.cost(2, 1_ms, 4000_ms) < fast.cost(2, 1_ms, 4000_ms));
+    slow.addLowerBound(12_ms, 4000_ms);
+    CHECK(slow.cost(2, 1_ms, 4000_ms) > fast.cost(2, 1_ms, 4000_ms));
+}
+
+// Guards against tries at a constant pace of a replica that stays slow.
+TEST(CoordinatorMechanisms, ReplicaThatStaysSlowIsTriedLessOften)
+{
+    TargetEvidence slow;
+    TargetEvidence fast;
+    slow.addSuccess(40_ms, 0_ms);
+    slow.addSuccess(40_ms, 4000_ms);
+    fast.addSuccess(4_ms, 8000_ms);
+    CHECK(slow.cost(2, 1_ms, 8000_ms) > fast.cost(2, 1_ms, 8000_ms));
+    fast.addSuccess(4_ms, 11000_ms);
+    CHECK(slow.cost(2, 1_ms, 11000_ms) < fast.cost(2, 1_ms, 11000_ms));
+}
