--- a/Libraries/Engine/NodeCore.cpp
+++ b/Libraries/Engine/NodeCore.cpp
@@ -130,6 +130,13 @@
                 "Check the service name against the output of tgctl view" });
         return;
     }
+    if (!request.priority.empty()
+        && std::ranges::find(configuration->classes, request.priority) == configuration->classes.end()) {
+        this->rejectRequest(request, 400,
+            { "unknown-priority", "Unknown priority", "No priority class is named \"" + request.priority + '"',
+                "Send a class of the configuration, or leave out Toucan-Priority" });
+        return;
+    }
     if (request.idempotence == Idempotence::Idempotent) {
         this->coordinator.startQuery(std::move(request), now);
         return;
--- a/Libraries/Net/HttpMessageReader.cpp
+++ b/Libraries/Net/HttpMessageReader.cpp
@@ -86,6 +86,15 @@
 }
 
 HttpMessageReader::Status HttpMessageReader::read(std::string& input)
+{
+    // Erasing once keeps the cost linear when the input holds many empty lines or small chunks.
+    std::string_view rest(input);
+    auto const status = this->readStages(rest);
+    input.erase(0, input.size() - rest.size());
+    return status;
+}
+
+HttpMessageReader::Status HttpMessageReader::readStages(std::string_view& input)
 {
     while (true) {
         if (this->stage == Stage::Done)
@@ -99,7 +108,7 @@
     }
 }
 
-HttpMessageReader::Status HttpMessageReader::readStage(std::string& input)
+HttpMessageReader::Status HttpMessageReader::readStage(std::string_view& input)
 {
     switch (this->stage) {
     case Stage::Header:
@@ -120,19 +129,19 @@
     return Status::Complete;
 }
 
-HttpMessageReader::Status HttpMessageReader::readHeader(std::string& input)
+HttpMessageReader::Status HttpMessageReader::readHeader(std::string_view& input)
 {
     // RFC 9112, section 2.2: empty lines before a request line are ignored.
     while (input.starts_with(lineEnd))
-        input.erase(0, lineEnd.size());
+        input.remove_prefix(lineEnd.size());
     auto const end = input.find(headerEnd);
-    auto const size = end == std::string::npos ? input.size() : end + headerEnd.size();
+    auto const size = end == std::string_view::npos ? input.size() : end + headerEnd.size();
     if (size > this->limits.headerBytes)
         return Status::HeaderTooLarge;
-    if (end == std::string::npos)
+    if (end == std::string_view::npos)
         return Status::NeedMore;
-    auto const text = input.substr(0, size);
-    input.erase(0, size);
+    std::string const text(input.substr(0, size));
+    input.remove_prefix(size);
     if (auto const status = this->parseHead(text); status != Status::Complete)
         return status;
     return this->startBody();
@@ -205,11 +214,11 @@
     return Status::Complete;
 }
 
-HttpMessageReader::Status HttpMessageReader::takeBody(std::string& input, Stage next)
+HttpMessageReader::Status HttpMessageReader::takeBody(std::string_view& input, Stage next)
 {
     auto const size = std::min<uint64_t>(this->remaining, input.size());
-    this->bodyText.append(input, 0, size);
-    input.erase(0, size);
+    this->bodyText.append(input.substr(0, size));
+    input.remove_prefix(size);
     this->remaining -= size;
     if (this->remaining)
         return Status::NeedMore;
@@ -217,46 +226,46 @@
     return Status::Complete;
 }
 
-HttpMessageReader::Status HttpMessageReader::readChunkSize(std::string& input)
+HttpMessageReader::Status HttpMessageReader::readChunkSize(std::string_view& input)
 {
     auto const end = input.find(lineEnd);
     if (std::min(end, input.size()) > longestChunkLine)
         return Status::Malformed;
-    if (end == std::string::npos)
+    if (end == std::string_view::npos)
         return Status::NeedMore;
-    auto const line = std::string_view(input).substr(0, end);
+    auto const line = input.substr(0, end);
     auto const size = parseNumber(line.substr(0, line.find(';')), 16);
     if (!size)
         return Status::Malformed;
     if (*size > this->limits.bodyBytes - this->bodyText.size())
         return Status::BodyTooLarge;
-    input.erase(0, end + lineEnd.size());
+    input.remove_prefix(end + lineEnd.size());
     this->remaining = *size;
     this->stage = *size ? Stage::ChunkData : Stage::Trailer;
     return Status::Complete;
 }
 
-HttpMessageReader::Status HttpMessageReader::readChunkEnd(std::string& input)
+HttpMessageReader::Status HttpMessageReader::readChunkEnd(std::string_view& input)
 {
     if (input.size() < lineEnd.size())
         return Status::NeedMore;
     if (!input.starts_with(lineEnd))
         return Status::Malformed;
-    input.erase(0, lineEnd.size());
+    input.remove_prefix(lineEnd.size());
     this->stage = Stage::ChunkSize;
     return Status::Complete;
 }
 
-HttpMessageReader::Status HttpMessageReader::readTrailer(std::string& input)
+HttpMessageReader::Status HttpMessageReader::readTrailer(std::string_view& input)
 {
     while (true) {
         auto const end = input.find(lineEnd);
         if (this->trailerBytes + std::min(end, input.size()) > this->limits.headerBytes)
             return Status::HeaderTooLarge;
-        if (end == std::string::npos)
+        if (end == std::string_view::npos)
             return Status::NeedMore;
         this->trailerBytes += end + lineEnd.size();
-        input.erase(0, end + lineEnd.size());
+        input.remove_prefix(end + lineEnd.size());
         if (end == 0)
             break;
     }
--- a/Libraries/Net/HttpMessageReader.h
+++ b/Libraries/Net/HttpMessageReader.h
@@ -56,14 +56,15 @@
         Done,
     };
 
-    Status readHeader(std::string& input);
+    Status readStages(std::string_view& input);
+    Status readHeader(std::string_view& input);
     Status parseHead(std::string const& text);
     Status startBody();
-    Status readStage(std::string& input);
-    Status takeBody(std::string& input, Stage next);
-    Status readChunkSize(std::string& input);
-    Status readChunkEnd(std::string& input);
-    Status readTrailer(std::string& input);
+    Status readStage(std::string_view& input);
+    Status takeBody(std::string_view& input, Stage next);
+    Status readChunkSize(std::string_view& input);
+    Status readChunkEnd(std::string_view& input);
+    Status readTrailer(std::string_view& input);
     Poco::Net::HTTPMessage& head();
 
     Kind kind;
--- a/Libraries/Node/JsonRpcServer.cpp
+++ b/Libraries/Node/JsonRpcServer.cpp
@@ -44,7 +44,12 @@
     std::string handle(std::string const& request)
     {
         std::string response;
-        this->connector.OnRequest(request, &response);
+        try {
+            this->connector.OnRequest(request, &response);
+        } catch (std::exception const&) {
+            // The library does not catch what jsoncpp throws when a text is nested too deep.
+            return R"({"jsonrpc":"2.0","id":null,"error":{"code":-32700,"message":"The JSON is nested too deep"}})";
+        }
         return response;
     }
 
--- a/Tests/Node/TestAdminTexts.cpp
+++ b/Tests/Node/TestAdminTexts.cpp
@@ -39,6 +39,8 @@
     LONGS_EQUAL(-32601, unknown["error"]["code"].asInt());
     auto const invalid = parseJson(this->server.handle("not json"));
     LONGS_EQUAL(-32700, invalid["error"]["code"].asInt());
+    auto const deep = parseJson(this->server.handle(std::string(20000, '[')));
+    LONGS_EQUAL(-32700, deep["error"]["code"].asInt());
 }
 
 TEST_GROUP(MetricsText) {};
