Make the slow unit tests faster

RefusesUnboundedLoad drew millions of arrivals before it was refused, CallsDuringAnOutageAreFew waited out real pauses for 6 s, and about 35 tests waited up to 250 ms for POCO's listener thread to look at its stop flag. Change: planArrivals() refuses by the expected number before it draws; the bound on drawn arrivals stays. ControlThread takes the pauses of its gates as an option, and the outage test uses a tenth of the default pauses and of the time, with the same bounds on calls. The platform stand-in and the JSON-RPC test server shut their listening socket down.

--- a/Libraries/Bench/LoadPlan.cpp
+++ b/Libraries/Bench/LoadPlan.cpp
@@ -82,6 +82,11 @@
     return end;
 }
 
+static Error tooManyArrivals()
+{
+    return { ErrorKind::LimitExceeded, "Too many arrivals", "Lower the rate or the duration" };
+}
+
 static void planStream(LoadSettings const& settings, size_t index, std::vector<Arrival>& arrivals)
 {
     auto const& stream = settings.mix[index];
@@ -101,12 +106,29 @@
         at = next;
         arrivals.push_back({ at, stream.service, stream.kind, stream.priority, stream.deadline, duplicated(random) });
         if (arrivals.size() > mostArrivals)
-            throw Error(ErrorKind::LimitExceeded, "Too many arrivals", "Lower the rate or the duration");
+            throw tooManyArrivals();
     }
 }
 
+/// Mean number of arrivals of all streams.
+static double expectedArrivals(LoadSettings const& settings)
+{
+    double rate = 0;
+    for (auto const& stream : settings.mix)
+        rate += stream.rate / millisecondsPerSecond;
+    double result = 0;
+    for (Milliseconds at; at < settings.duration;) {
+        auto const end = stretchEnd(settings, at);
+        result += rate * factorAt(settings.steps, at) * (end - at).value;
+        at = end;
+    }
+    return result;
+}
+
 std::vector<Arrival> planArrivals(LoadSettings const& settings)
 {
+    if (expectedArrivals(settings) > static_cast<double>(mostArrivals))
+        throw tooManyArrivals();
     std::vector<Arrival> arrivals;
     for (size_t index = 0; index < settings.mix.size(); ++index)
         planStream(settings, index, arrivals);
--- a/Libraries/Bench/PlatformStandIn.cpp
+++ b/Libraries/Bench/PlatformStandIn.cpp
@@ -24,6 +24,7 @@
 #include <mutex>
 #include <optional>
 #include <stdexcept>
+#include <sys/socket.h>
 #include <thread>
 
 namespace Toucan {
@@ -95,8 +96,8 @@
     {
         checkVms(options.vms);
         this->vmLists.emplace_back(Milliseconds {}, options.vms);
-        Poco::Net::ServerSocket const socket = listenOn(options.listen);
-        this->address = socket.address().toString();
+        this->listener = listenOn(options.listen);
+        this->address = this->listener.address().toString();
         auto parameters = Poco::makeAuto<Poco::Net::HTTPServerParams>();
         parameters->setMaxThreads(serverThreads);
         parameters->setMaxQueued(serverQueue);
@@ -104,7 +105,8 @@
         parameters->setMaxKeepAliveRequests(0);
         parameters->setKeepAliveTimeout(Poco::Timespan(60, 0));
         parameters->setTimeout(Poco::Timespan(60, 0));
-        this->server = std::make_unique<Poco::Net::HTTPServer>(new Factory(*this), this->threads, socket, parameters);
+        this->server
+            = std::make_unique<Poco::Net::HTTPServer>(new Factory(*this), this->threads, this->listener, parameters);
         this->server->start();
         this->leaseThread = std::thread([this] { this->expireLeases(); });
     }
@@ -117,6 +119,8 @@
         }
         this->changed.notify_all();
         this->leaseThread.join();
+        // Wakes POCO's listener thread, which otherwise looks at its stop flag every 250 ms only.
+        ::shutdown(this->listener.impl()->sockfd(), SHUT_RDWR);
         this->server->stopAll(true);
         this->threads.joinAll();
     }
@@ -484,6 +488,7 @@
     /// Time from which a list is visible, and the list.
     std::deque<std::pair<Milliseconds, Json::Value>> vmLists;
     Poco::ThreadPool threads;
+    Poco::Net::ServerSocket listener;
     std::unique_ptr<Poco::Net::HTTPServer> server;
     std::thread leaseThread;
 };
--- a/Libraries/Node/CallGate.cpp
+++ b/Libraries/Node/CallGate.cpp
@@ -7,7 +7,7 @@
 
 bool CallGate::onSuccess()
 {
-    this->pause = firstPause;
+    this->pause = this->pauses.first;
     return std::exchange(this->failing, false);
 }
 
@@ -15,7 +15,7 @@
 {
     std::uniform_real_distribution<double> jitter(0.5, 1.5);
     this->notBefore = now + this->pause * jitter(this->generator);
-    this->pause = std::min(this->pause * 2, longestPause);
+    this->pause = std::min(this->pause * 2, this->pauses.longest);
     return !std::exchange(this->failing, true);
 }
 
--- a/Libraries/Node/CallGate.h
+++ b/Libraries/Node/CallGate.h
@@ -6,12 +6,20 @@
 
 namespace Toucan {
 
+/// The pause doubles with each failure in a row, from `first` to `longest`.
+struct CallPauses {
+    Milliseconds first { 100 };
+    Milliseconds longest { 2000 };
+};
+
 /// Exponential back-off with jitter for calls to one platform service. While the gate is closed no call is made, so
 /// that a fleet does not call at once when an outage ends. Not thread-safe.
 class CallGate {
 public:
-    explicit CallGate(uint32_t seed = std::random_device {}())
+    explicit CallGate(CallPauses pauses = {}, uint32_t seed = std::random_device {}())
         : generator(seed)
+        , pauses(pauses)
+        , pause(pauses.first)
     {
     }
 
@@ -22,12 +30,10 @@
     /// Returns whether this is the first failure after a success.
     bool onFailure(Milliseconds now);
 
-    static constexpr Milliseconds firstPause = 100_ms;
-    static constexpr Milliseconds longestPause = 2000_ms;
-
 private:
     std::mt19937 generator;
-    Milliseconds pause { firstPause };
+    CallPauses pauses;
+    Milliseconds pause;
     Milliseconds notBefore;
     bool failing { false };
 };
--- a/Libraries/Node/ControlThread.cpp
+++ b/Libraries/Node/ControlThread.cpp
@@ -19,6 +19,8 @@
     , client(std::make_unique<StoreClient>(this->options.store, this->options.timeout))
     , replies(std::move(sink))
     , requests(requestCapacity)
+    , storeGate(this->options.pauses)
+    , vmListGate(this->options.pauses)
     , thread([this] { this->run(); })
 {
 }
--- a/Libraries/Node/ControlThread.h
+++ b/Libraries/Node/ControlThread.h
@@ -24,6 +24,7 @@
         /// IP address and port that serve GET /vms.
         std::string vmList;
         Milliseconds timeout { 500 };
+        CallPauses pauses {};
     };
 
     /// The thread runs until stop(). Throws Error of kind InvalidSettings when an endpoint is not valid.
--- a/Tests/Node/TestControlThread.cpp
+++ b/Tests/Node/TestControlThread.cpp
@@ -118,12 +118,16 @@
 // with jitter) leave room for no more than 12 attempts, each of at most 2 calls.
 TEST(ControlThread, CallsDuringAnOutageAreFew)
 {
+    // Pauses and time are a tenth of the real ones.
+    auto options = controlOptions(platform.endpoint());
+    options.pauses = { options.pauses.first * 0.1, options.pauses.longest * 0.1 };
+    ControlThread hurried(options, [this](StoreReply&& reply) { return this->replies.tryPush(reply); });
     control(R"({"outage":true})");
-    auto const end = Clock::now() + 6000_ms;
+    auto const end = Clock::now() + 600_ms;
     while (Clock::now() < end) {
-        thread.request(createRequest(StoreRequest::Kind::ReadOwnership));
+        hurried.request(createRequest(StoreRequest::Kind::ReadOwnership));
         CHECK(nextReply().has_value());
-        std::this_thread::sleep_for(std::chrono::milliseconds(10));
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
     }
     CHECK(platform.counters()["duringOutage"].asUInt64() >= 3);
     CHECK(platform.counters()["duringOutage"].asUInt64() <= 24);
--- a/Tests/Operator/TestJsonRpcClient.cpp
+++ b/Tests/Operator/TestJsonRpcClient.cpp
@@ -11,6 +11,8 @@
 #include <Poco/StreamCopier.h>
 #include <functional>
 #include <map>
+#include <memory>
+#include <sys/socket.h>
 
 #include "CppUTest/TestHarness.h"
 
@@ -67,6 +69,9 @@
 auto const address = socket.address().toString();
 Poco::Net::HTTPServer server(new HandlerFactory(std::move(answer)), socket, new Poco::Net::HTTPServerParams);
 server.start();
+// Wakes POCO's listener thread when the server ends; otherwise it looks at its stop flag every 250 ms only.
+std::shared_ptr<Poco::Net::ServerSocket> const closed(
+    &socket, [](auto* listener) { ::shutdown(listener->impl()->sockfd(), SHUT_RDWR); });
 return callJsonRpc(address, "configurationVersion", testTimeoutMs);
 }
 
