Describe the caller interface and count requests by service and outcome

GET /metrics had no HELP lines, no latency histogram and no requests by service and outcome, and called all counters of the engine gauges. RequestMetrics counts answers by service, outcome and status and keeps cumulative latency buckets; only configured services get series. Members of "counters" and "frames" of the view become counters that end in _total, which renames these metrics (no rule or page used the old names), and peers are counted by state. The expected text of the MetricsText test gained the HELP lines.

--- a/Libraries/Engine/NodeCore.cpp
+++ b/Libraries/Engine/NodeCore.cpp
@@ -90,6 +90,8 @@
 {
     if (auto const& configuration = this->configurationState.current()) {
         if (auto const* service = configuration->service(callerAnswer.service)) {
+            this->requestMetrics.record(
+                callerAnswer.service, callerAnswer.status, callerAnswer.outcome, callerAnswer.total);
             auto const& objective = configuration->ruleOf(*service).objective;
             auto const good = callerAnswer.status == 200 && callerAnswer.coverage.whole()
                 && callerAnswer.total <= objective.latency;
@@ -481,6 +483,7 @@
         entry["state"] = toString(peer.state);
         entry["incarnation"] = static_cast<Json::UInt64>(peer.incarnation);
     }
+    view["requests"] = this->requestMetrics.describe();
     view["frames"]["invalid"] = static_cast<Json::UInt64>(this->invalidFrames);
     view["frames"]["unknown"] = static_cast<Json::UInt64>(this->unknownFrames);
     view["frames"]["lateResults"] = static_cast<Json::UInt64>(this->partRouter.lateResults());
--- a/Libraries/Engine/NodeCore.h
+++ b/Libraries/Engine/NodeCore.h
@@ -5,6 +5,7 @@
 #include "Engine/DigestExchange.h"
 #include "Engine/NodeEngine.h"
 #include "Engine/PartRouter.h"
+#include "Engine/RequestMetrics.h"
 
 #include <deque>
 
@@ -45,6 +46,7 @@
     CommandRouter commandRouter;
     DigestExchange digestExchange;
     BurnTracker burnTracker;
+    RequestMetrics requestMetrics;
 
 private:
     struct IndirectProbe {
--- a/Tests/Node/TestAdminTexts.cpp
+++ b/Tests/Node/TestAdminTexts.cpp
@@ -1,4 +1,5 @@
 #include "Base/Json.h"
+#include "Engine/RequestMetrics.h"
 #include "Node/JsonRpcServer.h"
 #include "Node/MetricsText.h"
 
@@ -51,14 +52,59 @@
     auto const view = parseJson(R"({"ready":true,"name":"n1","coordinator":{"lateParts":3,
         "targets":{"a\"1":{"inFlight":2},"b":{"inFlight":0.5}}}})");
     auto const text = writeMetrics({ { "toucan_frames_sent_total", 12 } }, view);
-    STRCMP_EQUAL("# TYPE toucan_coordinator_late_parts gauge\n"
+    STRCMP_EQUAL("# HELP toucan_coordinator_late_parts Value of the node's view, named after its path.\n"
+                 "# TYPE toucan_coordinator_late_parts gauge\n"
                  "toucan_coordinator_late_parts 3\n"
+                 "# HELP toucan_coordinator_target_in_flight Value of the node's view, named after its path.\n"
                  "# TYPE toucan_coordinator_target_in_flight gauge\n"
                  "toucan_coordinator_target_in_flight{target=\"a\\\"1\"} 2\n"
                  "toucan_coordinator_target_in_flight{target=\"b\"} 0.5\n"
+                 "# HELP toucan_frames_sent_total Value of the node's view, named after its path.\n"
                  "# TYPE toucan_frames_sent_total counter\n"
                  "toucan_frames_sent_total 12\n"
+                 "# HELP toucan_ready 1 when the node is ready for callers.\n"
                  "# TYPE toucan_ready gauge\n"
                  "toucan_ready 1\n",
         text.c_str());
 }
+
+// Guards against counters that scrapers take for gauges, and against two types for one name.
+TEST(MetricsText, CountersEndInTotal)
+{
+    auto const view = parseJson(R"({"carrier":{"counters":{"sent":4},"targets":{"a":{"queued":2}}},
+        "frames":{"lateResults":1}})");
+    auto const text = writeMetrics({}, view);
+    CHECK(text.find("# TYPE toucan_carrier_sent_total counter\ntoucan_carrier_sent_total 4\n") != std::string::npos);
+    CHECK(text.find("toucan_carrier_target_queued{target=\"a\"} 2\n") != std::string::npos);
+    CHECK(text.find("toucan_frames_late_results_total 1\n") != std::string::npos);
+}
+
+// Guards against histograms whose buckets are not cumulative or lack +Inf, which scrapers refuse.
+TEST(MetricsText, RequestsHaveOutcomesAndCumulativeBuckets)
+{
+    RequestMetrics requests;
+    requests.record("app", 200, Outcome::Ran, 59_ms);
+    requests.record("app", 200, Outcome::Ran, 3_ms);
+    requests.record("app", 503, Outcome::NotRun, 60'000_ms);
+    Json::Value view;
+    view["requests"] = requests.describe();
+    view["members"]["n1"]["state"] = "alive";
+    view["members"]["n2"]["state"] = "alive";
+    view["members"]["n3"]["state"] = "dead";
+    auto const text = writeMetrics({}, view);
+    std::string const duration = "toucan_request_duration_milliseconds";
+    for (std::string const& line : { std::string("# TYPE " + duration + " histogram\n"),
+             std::string(duration + "_bucket{service=\"app\",le=\"2\"} 0\n"),
+             std::string(duration + "_bucket{service=\"app\",le=\"5\"} 1\n"),
+             std::string(duration + "_bucket{service=\"app\",le=\"40\"} 1\n"),
+             std::string(duration + "_bucket{service=\"app\",le=\"59\"} 2\n"),
+             std::string(duration + "_bucket{service=\"app\",le=\"5000\"} 2\n"),
+             std::string(duration + "_bucket{service=\"app\",le=\"+Inf\"} 3\n"),
+             std::string(duration + "_sum{service=\"app\"} 60062\n"),
+             std::string(duration + "_count{service=\"app\"} 3\n"),
+             std::string("toucan_requests_total{service=\"app\",outcome=\"ran\"} 2\n"),
+             std::string("toucan_requests_total{service=\"app\",outcome=\"not-run\"} 1\n"),
+             std::string("toucan_responses_total{service=\"app\",status=\"503\"} 1\n"),
+             std::string("toucan_peers{state=\"alive\"} 2\n"), std::string("toucan_peers{state=\"dead\"} 1\n") })
+        CHECK_TEXT(text.find(line) != std::string::npos, line.c_str());
+}
