Hand key ranges back to their first live claimant and tell give-ups

After restarts a node kept every range that it had claimed, so one node could own all of them. An owner that is not the first live claimant now gives a range up while no command of it runs, at most one a second, and takes it back when nobody claims it. The random histories contain hand-backs and take-backs, and each key still runs at most once.

The digest's hash leaves `until` out, so a give-up was not told: a successor heard of it only when its old view of `until` lapsed. Claims and give-ups now go to all peers at once.

--- a/Libraries/Engine/DigestExchange.cpp
+++ b/Libraries/Engine/DigestExchange.cpp
@@ -57,6 +57,16 @@
     this->hooks.send(peer, std::move(frame));
 }
 
+void DigestExchange::sendRecord(std::string const& peer, OwnershipRecord const& record)
+{
+    Json::Value frame;
+    frame["kind"] = "digest";
+    frame["self"] = FrameCodec::encodePeer(this->hooks.self());
+    frame["version"] = static_cast<Json::UInt64>(this->hooks.configurationVersion());
+    frame["table"].append(FrameCodec::encodeRecord(record));
+    this->hooks.send(peer, std::move(frame));
+}
+
 void DigestExchange::receive(std::string const& peer, Json::Value const& frame, Milliseconds now)
 {
     for (auto const& record : frame["table"])
--- a/Libraries/Engine/DigestExchange.h
+++ b/Libraries/Engine/DigestExchange.h
@@ -32,6 +32,8 @@
     explicit DigestExchange(Hooks hooks);
 
     void send(std::string const& peer, Milliseconds now);
+    /// Tells a peer one ownership record at once; extensions need not be told.
+    void sendRecord(std::string const& peer, OwnershipRecord const& record);
     void receive(std::string const& peer, Json::Value const& frame, Milliseconds now);
     /// Names from the VM list, when this node reads it. Targets that left the list stop being spread.
     void setLeavingTargets(std::vector<std::string> const& names, Milliseconds now);
--- a/Libraries/Engine/KeyOwner.cpp
+++ b/Libraries/Engine/KeyOwner.cpp
@@ -24,6 +24,11 @@
 /// A range whose give-up the store does not confirm in this time is left to lapse.
 static constexpr Milliseconds giveUpBound { 5000 };
 
+/// An earlier claimant must have been alive this long before a range is handed back to it.
+static constexpr Milliseconds stableClaimant { 3000 };
+/// At most one range is handed back in this time, so that few keys are undecided at once.
+static constexpr Milliseconds handBackPeriod { 1000 };
+
 class KeyOwner::Implementation {
 public:
     /// A command whose key no known interval covers yet.
@@ -137,7 +142,7 @@
     bool releasesPast(uint32_t range, uint64_t time) const
     {
         auto const& ownership = this->ranges[range];
-        return this->stopBegan && ownership.isMine() && time >= ownership.known()->from;
+        return ownership.isReleasing() && ownership.isMine() && time >= ownership.known()->from;
     }
 
     void accept(Waiting&& waiting, uint32_t range, uint64_t time, Milliseconds now)
@@ -257,12 +262,23 @@
             this->reconsiderWaiting(now);
     }
 
+    bool mayHandBack(uint32_t range, std::optional<uint32_t> rank, Milliseconds now)
+    {
+        if (!rank || *rank == 0) {
+            this->earlierClaimantSince.erase(range);
+            return false;
+        }
+        auto const since = this->earlierClaimantSince.try_emplace(range, now).first->second;
+        return now - since >= stableClaimant && now >= this->nextHandBack;
+    }
+
     void advanceRange(uint32_t range, Milliseconds now)
     {
         RangeOwnership::Situation situation;
         situation.now = now;
         situation.wallClock = this->wallClock;
         situation.rank = this->rankOf(range);
+        situation.mayHandBack = this->mayHandBack(range, situation.rank, now);
         situation.claimsAllowedSince = this->claimsAllowedSince;
         situation.stopping = this->stopBegan.has_value();
         situation.hasRunningCommands = this->memory.hasRunning(range);
@@ -271,6 +287,8 @@
         if (!proposal)
             return;
         ++this->writes;
+        if (proposal->kind == RangeOwnership::Proposal::Kind::Release)
+            this->nextHandBack = now + handBackPeriod;
         this->outbox.post(
             [this, proposal = *proposal] { this->hooks.write(proposal.next, proposal.expectedRevision); });
     }
@@ -369,6 +387,9 @@
     std::multimap<std::string, KeyWaiter> undeduplicated;
     std::set<KeyTimer> timers;
     std::optional<Milliseconds> stopBegan;
+    /// By range, since when a claimant that comes before this node is alive.
+    std::map<uint32_t, Milliseconds> earlierClaimantSince;
+    Milliseconds nextHandBack { -1e12 };
     Milliseconds claimsAllowedSince;
     Milliseconds nextTick;
     Milliseconds currentTime;
--- a/Libraries/Engine/NodeCore.cpp
+++ b/Libraries/Engine/NodeCore.cpp
@@ -323,6 +323,27 @@
     this->digestExchange.setLeavingTargets(leaving, now);
 }
 
+/// Claims and give-ups are told to all peers at once: the successor claims when it hears of the give-up, and callers'
+/// commands wait at the former owner until it hears of the claim. Both are rare, as opposed to extensions.
+void NodeCore::onOwnershipWritten(StoreReply&& reply, Milliseconds now)
+{
+    auto const& records = this->keyOwner.records();
+    auto const found = records.find(reply.range);
+    auto const before = found == records.end() ? std::nullopt : std::optional(found->second);
+    this->keyOwner.onWriteResult(reply.range, reply.writeResult, reply.current, now);
+    if (reply.writeResult != KeyOwner::WriteResult::Accepted || !reply.current)
+        return;
+    auto const& current = *reply.current;
+    auto const extended = before && before->owner == current.owner && before->incarnation == current.incarnation
+        && before->from == current.from && before->until < current.until;
+    if (extended)
+        return;
+    for (auto const& peer : this->membership.peers()) {
+        if (this->membership.usable(peer.name))
+            this->digestExchange.sendRecord(peer.name, current);
+    }
+}
+
 void NodeCore::onStoreReply(StoreReply&& reply, Milliseconds now)
 {
     switch (reply.kind) {
@@ -337,7 +358,7 @@
             this->keyOwner.onRecord(record, now);
         break;
     case StoreRequest::Kind::WriteOwnership:
-        this->keyOwner.onWriteResult(reply.range, reply.writeResult, reply.current, now);
+        this->onOwnershipWritten(std::move(reply), now);
         break;
     case StoreRequest::Kind::ReadVmList:
         if (!reply.reachable)
--- a/Libraries/Engine/NodeCore.h
+++ b/Libraries/Engine/NodeCore.h
@@ -76,6 +76,7 @@
     void onProbed(std::string const& from, Json::Value const& frame, Milliseconds now);
     void dispatchFrame(std::string const& kind, std::string const& from, Json::Value const& frame, Milliseconds now);
     void onVmList(std::vector<VmEntry> const& vms, Milliseconds now);
+    void onOwnershipWritten(StoreReply&& reply, Milliseconds now);
     void noteLeavingTarget(std::string const& target);
     /// False for a short time after the start, while key ranges have no known owner and commands would not be decided.
     bool ownersKnown(Milliseconds now) const;
--- a/Libraries/Engine/RangeOwnership.cpp
+++ b/Libraries/Engine/RangeOwnership.cpp
@@ -12,6 +12,7 @@
 /// Without a read-back in this time the same compare-and-swap is tried again, which is safe and shows the record.
 static constexpr Milliseconds uncertainPause { 2000 };
 static constexpr Milliseconds writeTimeout { 10000 };
+static constexpr Milliseconds handBackPause { 60000 };
 
 RangeOwnership::RangeOwnership(uint32_t range, std::string nodeName, uint64_t incarnation)
     : range(range)
@@ -42,12 +43,23 @@
 {
     if (this->intervals.empty() || this->intervals.back().from != own.from)
         this->intervals.push_back({ own.from, own.until });
+    this->endHandBack(own);
     auto& interval = this->intervals.back();
     interval.until = std::max(interval.until, own.until);
     if (this->releasedUntil)
         interval.until = std::min(interval.until, *this->releasedUntil);
 }
 
+/// A larger bound at a revision after the one that every proposed give-up expected shows that none of them can take
+/// effect any more.
+void RangeOwnership::endHandBack(OwnershipRecord const& own)
+{
+    if (!this->handBackRevision || own.revision <= *this->handBackRevision || own.until <= *this->releasedUntil)
+        return;
+    this->handBackRevision.reset();
+    this->releasedUntil.reset();
+}
+
 void RangeOwnership::onWriteResult(
     KeyOwner::WriteResult result, std::optional<OwnershipRecord> const& current, Milliseconds now)
 {
@@ -75,15 +87,21 @@
         this->uncertain = true;
         this->retryAt = situation.now;
     }
+    if (situation.stopping)
+        this->handBackRevision.reset();
     if (this->pending || (this->uncertain && situation.now < this->retryAt))
         return std::nullopt;
     auto proposal = !this->isMine() ? this->claim(situation)
         : situation.stopping        ? this->release(situation)
-                                    : this->extend(situation);
+                                    : this->handBackOrExtend(situation);
     if (!proposal)
         return std::nullopt;
     this->uncertain = false;
+    if (this->handBackRevision && proposal->kind == Proposal::Kind::Extend)
+        this->nextHandBack = situation.now + handBackPause;
     if (proposal->kind == Proposal::Kind::Release) {
+        if (!situation.stopping)
+            this->handBackRevision = proposal->expectedRevision;
         // The write may take effect at any time from now on, so the smaller bound is in force at once.
         this->releasedUntil = std::min(this->releasedUntil.value_or(proposal->next.until), proposal->next.until);
         if (!this->intervals.empty())
@@ -127,6 +145,23 @@
     return this->createProposal(Proposal::Kind::Extend, this->record->from, until, situation.now);
 }
 
+std::optional<RangeOwnership::Proposal> RangeOwnership::handBackOrExtend(Situation const& situation) const
+{
+    if (this->handBackRevision && this->record->until <= *this->releasedUntil) {
+        // The range is given up in the store; it is taken back as another candidate of this rank would claim it.
+        auto const pause = situation.rank.value_or(0) * claimPausePerRank;
+        if (situation.wallClock < this->record->until + pause)
+            return std::nullopt;
+        return this->createProposal(
+            Proposal::Kind::Extend, this->record->from, situation.wallClock + intervalLength, situation.now);
+    }
+    if (this->handBackRevision || (situation.mayHandBack && situation.now >= this->nextHandBack)) {
+        if (auto proposal = this->release(situation))
+            return proposal;
+    }
+    return this->extend(situation);
+}
+
 std::optional<RangeOwnership::Proposal> RangeOwnership::release(Situation const& situation) const
 {
     auto const until = std::max({ this->decidedBelow, situation.wallClock, this->record->from });
--- a/Libraries/Engine/RangeOwnership.h
+++ b/Libraries/Engine/RangeOwnership.h
@@ -38,6 +38,8 @@
         Milliseconds claimsAllowedSince;
         bool stopping { false };
         bool hasRunningCommands { false };
+        /// An earlier claimant has been alive for some time, so the range may be handed back to it.
+        bool mayHandBack { false };
     };
 
     RangeOwnership(uint32_t range, std::string nodeName, uint64_t incarnation);
@@ -57,12 +59,16 @@
     bool isGivenUp(uint64_t wallClock) const;
     bool isUnsettled() const { return this->pending || this->uncertain; }
     std::optional<OwnershipRecord> const& known() const { return this->record; }
+    /// A give-up was proposed, so keys after it are left to a successor or to a later extension.
+    bool isReleasing() const { return this->releasedUntil.has_value(); }
     void forgetIntervalsBelow(uint64_t time);
 
 private:
     std::optional<Proposal> claim(Situation const& situation) const;
     std::optional<Proposal> extend(Situation const& situation) const;
     std::optional<Proposal> release(Situation const& situation) const;
+    std::optional<Proposal> handBackOrExtend(Situation const& situation) const;
+    void endHandBack(OwnershipRecord const& own);
     Proposal createProposal(Proposal::Kind kind, uint64_t from, uint64_t until, Milliseconds now) const;
     void adopt(OwnershipRecord const& own);
 
@@ -81,6 +87,11 @@
     Milliseconds lastExtended { -1e12 };
     /// Bound of the interval since a give-up was proposed.
     std::optional<uint64_t> releasedUntil;
+    /// Set while the give-up is a hand-back, after which this node may extend again; highest revision that a proposed
+    /// give-up expected.
+    std::optional<uint64_t> handBackRevision;
+    /// After a range was taken back it is kept for a while, so that an absent claimant costs few gaps.
+    Milliseconds nextHandBack { -1e12 };
     uint64_t decidedBelow { 0 };
 };
 
--- a/Tests/Engine/KeyOwnerFixture.h
+++ b/Tests/Engine/KeyOwnerFixture.h
@@ -8,6 +8,7 @@
 #include <cstdio>
 #include <map>
 #include <memory>
+#include <set>
 #include <vector>
 
 namespace Toucan {
@@ -62,7 +63,7 @@
                     [this](std::string const& sender, CommandVerdict&& verdict) {
                         this->replies.push_back({ sender, std::move(verdict) });
                     },
-                    [](std::string const&) { return false; } },
+                    [this](std::string const& node) { return this->alive.contains(node); } },
               name, incarnation)
     {
     }
@@ -102,6 +103,8 @@
     }
 
     std::string name;
+    /// Other nodes that this one believes alive.
+    std::set<std::string> alive;
     std::vector<Write> writes;
     std::vector<CommandRequest> runs;
     std::vector<Reply> replies;
--- a/Tests/Engine/TestKeyOwner.cpp
+++ b/Tests/Engine/TestKeyOwner.cpp
@@ -1,5 +1,7 @@
 #include "KeyOwnerFixture.h"
 
+#include "Engine/CarrierMap.h"
+
 #include <random>
 #include <set>
 
@@ -167,6 +169,71 @@
     LONGS_EQUAL(1, first.runs.size());
 }
 
+// Guards against one node that owns all ranges for ever after a rolling restart.
+TEST(KeyOwner, OwnerHandsBackToALivingEarlierClaimant)
+{
+    auto const order = rendezvousOrder(configuration.value.fleet, "ownership/0");
+    auto& owner = order[0] == "n1" ? second : first;
+    auto& claimant = order[0] == "n1" ? first : second;
+    if (store.read(0)->owner != owner.name) {
+        now += 32000_ms;
+        owner.owner.onRecord(*store.read(0), now);
+        owner.step(store, now);
+    }
+    STRCMP_EQUAL(owner.name.c_str(), store.read(0)->owner.c_str());
+    owner.alive.insert(claimant.name);
+    auto const running = makeKey(asKeyTime(now) + 1, 1);
+    owner.submit(running, now);
+    for (auto const end = now + 5000_ms; now < end; now += 100_ms)
+        owner.step(store, now);
+    // A running command keeps the range here.
+    CHECK(store.read(0)->until > asKeyTime(now));
+    owner.finish(owner.runs.at(0), Outcome::Ran, now);
+    owner.step(store, now);
+    LONGS_EQUAL(asKeyTime(now), store.read(0)->until);
+    // Keys of the successor wait, the owner's own ones keep their verdict.
+    now += 10_ms;
+    owner.submit(makeKey(asKeyTime(now), 2), now);
+    LONGS_EQUAL(1, owner.runs.size());
+    claimant.owner.onRecord(*store.read(0), now);
+    claimant.step(store, now);
+    STRCMP_EQUAL(claimant.name.c_str(), store.read(0)->owner.c_str());
+    claimant.submit(makeKey(asKeyTime(now), 2), now);
+    LONGS_EQUAL(1, claimant.runs.size());
+    owner.owner.onRecord(*store.read(0), now);
+    STRCMP_EQUAL("not-owner", owner.replies.back().verdict.problem.type.c_str());
+    owner.submit(running, now);
+    CHECK(owner.replies.back().verdict.outcome == Outcome::Ran);
+}
+
+// Guards against a range without an owner when the earlier claimant does not claim it.
+TEST(KeyOwner, OwnerTakesARangeBackThatNobodyClaims)
+{
+    auto const order = rendezvousOrder(configuration.value.fleet, "ownership/0");
+    auto& owner = order[0] == "n1" ? second : first;
+    if (store.read(0)->owner != owner.name) {
+        now += 32000_ms;
+        owner.owner.onRecord(*store.read(0), now);
+        owner.step(store, now);
+    }
+    owner.alive.insert(order[0]);
+    auto const limit = now + 10000_ms;
+    while (store.read(0)->until > asKeyTime(now) && now < limit)
+        owner.step(store, now += 100_ms);
+    auto const given = now;
+    CHECK(given < limit);
+    while (store.read(0)->until <= asKeyTime(now) && now < limit)
+        owner.step(store, now += 100_ms);
+    CHECK(now - given <= 2200_ms);
+    owner.submit(makeKey(asKeyTime(given) + 50, 1), now);
+    LONGS_EQUAL(1, owner.runs.size());
+    // It is not given up again at once.
+    for (auto const end = now + 20000_ms; now < end; now += 100_ms) {
+        owner.step(store, now);
+        CHECK(store.read(0)->until > asKeyTime(now));
+    }
+}
+
 // Guards against a wrong verdict for a caller whose deadline ends before the command does.
 TEST(KeyOwner, WaiterGetsUnknownAtItsDeadline)
 {
@@ -240,6 +307,9 @@
             this->stopped.push_back(std::move(this->nodes[index]));
         this->nodes[index] = std::make_unique<OwnerNode>(index == 0 ? "n1" : "n2", ++this->incarnation);
         this->nodes[index]->owner.setConfiguration(this->configuration.pointer(), this->now);
+        // The nodes' views of each other differ, so ranges are also handed back and taken back.
+        if (this->draw(2))
+            this->nodes[index]->alive.insert(index == 0 ? "n2" : "n1");
     }
 
     void handleWrites(OwnerNode& node)
@@ -250,7 +320,7 @@
                 node.owner.onWriteResult(write.next.range, KeyOwner::WriteResult::Unknown, std::nullopt, this->now);
                 break;
             case 1: // The write takes effect, its answer is lost.
-                this->store.swap(write.next, write.expectedRevision);
+                this->swap(node, write);
                 node.owner.onWriteResult(write.next.range, KeyOwner::WriteResult::Unknown, std::nullopt, this->now);
                 break;
             case 2: // The write takes effect later.
@@ -263,9 +333,22 @@
         }
     }
 
-    void answer(OwnerNode& node, OwnerNode::Write const& write)
+    bool swap(OwnerNode const& node, OwnerNode::Write const& write)
     {
+        auto const before = this->store.read(write.next.range);
         auto const accepted = this->store.swap(write.next, write.expectedRevision);
+        auto const shrinks = accepted && before && before->owner == node.name && write.next.until < before->until;
+        this->releases += shrinks ? 1 : 0;
+        this->takenBack += accepted && before && before->owner == node.name && before->from == write.next.from
+                && before->until <= asKeyTime(this->now) && write.next.until > asKeyTime(this->now)
+            ? 1
+            : 0;
+        return accepted;
+    }
+
+    void answer(OwnerNode& node, OwnerNode::Write const& write)
+    {
+        auto const accepted = this->swap(node, write);
         auto const current = this->draw(2) == 0 ? this->store.read(write.next.range) : std::nullopt;
         node.owner.onWriteResult(write.next.range,
             accepted ? KeyOwner::WriteResult::Accepted : KeyOwner::WriteResult::Conflict, current, this->now);
@@ -328,6 +411,8 @@
     Milliseconds now { 1000000 };
     uint64_t incarnation { 0 };
     uint32_t keyNumber { 0 };
+    size_t releases { 0 };
+    size_t takenBack { 0 };
     std::unique_ptr<OwnerNode> nodes[2];
     std::vector<std::unique_ptr<OwnerNode>> stopped;
     std::vector<OwnerNode::Write> delayed;
@@ -344,6 +429,8 @@
 {
     size_t ran = 0;
     size_t refused = 0;
+    size_t releases = 0;
+    size_t takenBack = 0;
     for (uint32_t seed = 1; seed <= 100; ++seed) {
         RandomOwnerWorld world(seed);
         for (int step = 0; step < 600; ++step)
@@ -353,10 +440,14 @@
             LONGS_EQUAL_TEXT(1, count, text.c_str());
             CHECK_FALSE_TEXT(world.notRun.contains(key), text.c_str());
         }
+        releases += world.releases;
+        takenBack += world.takenBack;
         ran += world.runCounts.size();
         refused += world.notRun.size();
     }
     // The histories are worth something only when many keys ran and many were refused.
     CHECK(ran > 1000);
     CHECK(refused > 500);
+    CHECK(releases > 100);
+    CHECK(takenBack > 100);
 }
