Let the reader of the VM list act on leaving targets itself

A watcher told its peers which targets leave, but heard of it itself only from the digest of another reader. Alone, or before that digest, it went on to use the target.

--- a/Libraries/Engine/DigestExchange.cpp
+++ b/Libraries/Engine/DigestExchange.cpp
@@ -104,8 +104,11 @@
 void DigestExchange::setLeavingTargets(std::vector<std::string> const& names, Milliseconds now)
 {
     this->leaving.clear();
-    for (auto const& name : names)
+    for (auto const& name : names) {
         this->leaving[name] = now;
+        // Other nodes hear of it by digest; the reader itself hears of it only here.
+        this->hooks.targetLeaving(name);
+    }
 }
 
 std::vector<std::string> DigestExchange::leavingTargets(Milliseconds now) const
--- a/Tests/Integration/test_limits.py
+++ b/Tests/Integration/test_limits.py
@@ -1,4 +1,4 @@
-"""Tests of the targets' connection limit with real processes while carriers change."""
+"""Tests with real processes of what a target may expect: its connection limit, and no new work when it leaves."""
 
 import json
 import pathlib
@@ -9,16 +9,30 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[2] / "Scripts"))
 
-from toucanfleet import Fleet, write_json  # noqa: E402  (the path is set above)
+from toucanfleet import Fleet, call, checked, write_json  # noqa: E402  (the path is set above)
 
 SERVICE = "warehouse-packing"
+QUIET_SERVICE = "recipe-catalogue"
 CONNECTIONS = 4
 DEADLINE_MS = 250
 # The time in which an accepted configuration is in force everywhere, and the rule's deadline.
 HANDOVER_S = 3 + DEADLINE_MS / 1000
+LEAVING_BOUND_S = 3
 
 
-class LimitsFleet(Fleet):
+class QuickStopFleet(Fleet):
+    """A fleet whose nodes stop without waiting for a balancer."""
+
+    def write_settings(self):
+        """Writes all settings with a short wait."""
+        super().write_settings()
+        for name in self.nodes:
+            path = self.folder / f"{name}.json"
+            settings = json.loads(path.read_text(encoding="utf-8"))
+            write_json(path, settings | {"stop": {"balancerLagMs": 50, "drainMs": 10000}})
+
+
+class LimitsFleet(QuickStopFleet):
     """One service of 6 targets that take 4 connections each, so that each of 3 carriers may hold one."""
 
     def __init__(self, folder, nodes, roster):
@@ -118,5 +132,74 @@
             self.assertLessEqual(max(entry["now"] for entry in view.values()), 3)
 
 
+class LeavingFleet(QuickStopFleet):
+    """A service under load and one that gets no load, on which only status polls can show a state."""
+
+    def __init__(self, folder):
+        super().__init__(folder, nodes=5)
+        services = (SERVICE, QUIET_SERVICE)
+        self.configuration["services"] = {name: self.configuration["services"][name] for name in services}
+        self.target_settings = {name: settings for name, settings in self.target_settings.items()
+                                if settings["service"] in services}
+
+    def start_load(self, seconds):
+        """Starts bounded load on the first service."""
+        settings = {"seed": 3, "durationMs": seconds * 1000, "timeoutMs": 2000, "connections": 20,
+                    "mix": [{"service": SERVICE, "rate": 200}], "history": str(self.folder / "callers.jsonl"),
+                    "nodes": [{"name": name, "address": node.caller} for name, node in self.nodes.items()]}
+        write_json(self.folder / "load.json", settings)
+        return self.spawn("load", "tg-load", "--settings", self.folder / "load.json")
+
+    def list_as_leaving(self, target):
+        """Adds a target to the VM list with the state "leaving"."""
+        entries = json.loads((self.folder / "vms.json").read_text(encoding="utf-8"))
+        definition = self.configuration["services"][SERVICE]["targets"][target]
+        entries.append({"name": target, "address": definition["address"],
+                        "failureDomain": definition["failureDomain"], "state": "leaving"})
+        checked(call(self.platform, "POST", "/control", {"vms": entries}))
+
+    def starts_after(self, moments):
+        """Start times in seconds after the given wall-clock times, by target."""
+        lines = [json.loads(line) for line in self.target_history.read_text(encoding="utf-8").splitlines()]
+        return {target: sorted(line["time"] / 1000 - moment for line in lines if line["kind"] == "start"
+                               and line["target"] == target and line["time"] / 1000 >= moment)
+                for target, moment in moments.items()}
+
+
+class LeavingTest(unittest.TestCase):
+    """A leaving target gets no new work, by whichever signal that says so."""
+
+    def test_each_signal_stops_new_starts(self):
+        """Guards against work that a leaving target gets after 3 s, also while its own answers say "serving"."""
+        with tempfile.TemporaryDirectory() as folder, LeavingFleet(folder) as fleet:
+            load = fleet.start_load(9)
+            time.sleep(2)
+            by_signal = {"own state": f"{SERVICE}-t1", "configuration": f"{SERVICE}-t3", "VM list": f"{SERVICE}-t5",
+                         "status poll": f"{QUIET_SERVICE}-t1"}
+            moments = {}
+            for signal in ("own state", "status poll"):
+                # The target goes on to take work, so that only the nodes can end it.
+                fleet.target_control(by_signal[signal], state="draining", drainGraceMs=60000)
+                moments[by_signal[signal]] = time.time()
+            moments[by_signal["VM list"]] = time.time()
+            fleet.list_as_leaving(by_signal["VM list"])
+            definition = fleet.configuration["services"][SERVICE]["targets"][by_signal["configuration"]]
+            definition["draining"] = True
+            fleet.apply()
+            moments[by_signal["configuration"]] = time.time()
+            time.sleep(1.5)
+            for number in range(60):
+                fleet.query(f"entry-{number % 5 + 1}", QUIET_SERVICE)
+                time.sleep(0.05)
+            load.wait(20)
+            fleet.stop()
+            starts = fleet.starts_after(moments)
+        last = {signal: max(starts[target], default=0) for signal, target in by_signal.items()}
+        print("seconds until the last start: "
+              + ", ".join(f"{signal} {value:.2f}" for signal, value in last.items()), end=" ", flush=True)
+        for signal, value in last.items():
+            self.assertLessEqual(value, LEAVING_BOUND_S, signal)
+
+
 if __name__ == "__main__":
     unittest.main()
