--- a/Libraries/Engine/DigestExchange.cpp
+++ b/Libraries/Engine/DigestExchange.cpp
@@ -59,6 +59,16 @@
     this->hooks.send(peer, std::move(frame));
 }
 
+void DigestExchange::sendRecord(std::string const& peer, OwnershipRecord const& record)
+{
+    Json::Value frame;
+    frame["kind"] = "digest";
+    frame["self"] = FrameCodec::encodePeer(this->hooks.self());
+    frame["version"] = static_cast<Json::UInt64>(this->hooks.configurationVersion());
+    frame["table"].append(FrameCodec::encodeRecord(record));
+    this->hooks.send(peer, std::move(frame));
+}
+
 void DigestExchange::receive(std::string const& peer, Json::Value const& frame, Milliseconds now)
 {
     for (auto const& record : frame["table"])
@@ -96,8 +106,11 @@
 void DigestExchange::setLeavingTargets(std::vector<std::string> const& names, Milliseconds now)
 {
     this->leaving.clear();
-    for (auto const& name : names)
+    for (auto const& name : names) {
         this->leaving[name] = now;
+        // Other nodes hear of it by digest; the reader itself hears of it only here.
+        this->hooks.targetLeaving(name);
+    }
 }
 
 std::vector<std::string> DigestExchange::leavingTargets(Milliseconds now) const
