Run the classes of integration tests three at a time

Cause: the integration tests wait for timeouts most of the time and took more than five minutes one after the other. Change: run_tests.py starts a process for each test class, three at once.

--- a/Scripts/run_tests.py
+++ b/Scripts/run_tests.py
@@ -1,5 +1,6 @@
 """Runs the unit tests and the integration tests, and prints one line of totals."""
 
+import concurrent.futures
 import pathlib
 import re
 import subprocess
@@ -8,6 +9,8 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
+# Most tests wait for timeouts of real processes; more at once would make them compete for processor time.
+PARALLEL_CLASSES = 3
 
 
 def run_unit_tests():
@@ -41,22 +44,37 @@
             yield item
 
 
+def run_class(test_ids):
+    """Runs the tests of one class in a process of their own; returns its output, the count and the failures."""
+    run = subprocess.run([sys.executable, "-B", "-m", "unittest", "-v", *test_ids], capture_output=True, text=True,
+                         cwd=ROOT / "Tests" / "Integration", check=False)
+    output = run.stdout + run.stderr
+    failed = sum(int(count) for count in re.findall(r"(?:failures|errors|unexpected successes)=(\d+)", output))
+    if run.returncode and not failed:
+        failed = len(test_ids)
+    return output, len(test_ids), failed
+
+
 def run_integration_tests(patterns):
     """Returns the passed and the failed count of Tests/Integration; known red tests are printed and left out."""
     sys.path.insert(0, str(ROOT / "Tests" / "Integration"))
     loader = unittest.TestLoader()
     if patterns:
         loader.testNamePatterns = [f"*{pattern}*" for pattern in patterns]
-    found = list(flatten(loader.discover(str(ROOT / "Tests" / "Integration"), pattern="test_*.py")))
     red = known_red_tests()
-    for test in found:
+    classes = {}
+    for test in flatten(loader.discover(str(ROOT / "Tests" / "Integration"), pattern="test_*.py")):
         if test.id() in red:
             print(f"known red, not run: {test.id()}")
-    chosen = unittest.TestSuite(test for test in found if test.id() not in red)
-    count = chosen.countTestCases()
-    result = unittest.TextTestRunner(stream=sys.stdout, verbosity=2).run(chosen)
-    failed = len(result.failures) + len(result.errors) + len(result.unexpectedSuccesses)
-    return count - failed, failed
+        else:
+            classes.setdefault(type(test), []).append(test.id())
+    passed = failed = 0
+    with concurrent.futures.ThreadPoolExecutor(PARALLEL_CLASSES) as pool:
+        for output, count, failures in pool.map(run_class, classes.values()):
+            print(output, flush=True)
+            passed += count - failures
+            failed += failures
+    return passed, failed
 
 
 def main():
