Fuzz the readers of input from outside

Cause: malformed input was tested by tables of known cases only. Change: Tests/Fuzz/FuzzInputs lists six readers (caller requests, target responses, frame decoders, a whole engine, configuration folders, settings files) with samples.

--- /dev/null
+++ b/Tests/Fuzz/FuzzInputs.cpp
@@ -0,0 +1,204 @@
+#include "FuzzInputs.h"
+
+#include "Base/Error.h"
+#include "Base/Json.h"
+#include "Configuration/FolderMerge.h"
+#include "Configuration/SettingsText.h"
+#include "Engine/FrameCodec.h"
+#include "Engine/NodeEngine.h"
+#include "Net/HttpMessageReader.h"
+#include "Node/CallerMessages.h"
+
+#include <algorithm>
+#include <functional>
+#include <optional>
+#include <stdexcept>
+
+namespace Toucan::Fuzz {
+
+namespace {
+
+    std::vector<std::string> const requestSamples {
+        "POST /v1/services/app/query HTTP/1.1\r\nHost: a\r\nContent-Length: 22\r\nToucan-Deadline-Ms: 100\r\n"
+        "Toucan-Request-Id: r1\r\n\r\n{\"text\":\"a\",\"limit\":10}",
+        "POST /v1/services/app/command HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n"
+        "Toucan-Request-Key: 01890a5d-ac96-774b-bcce-b302099a8057\r\n\r\n"
+        "9;x=y\r\n{\"record\"\r\n5\r\n:\"r\"}\r\n0\r\nTrailer: 1\r\n\r\n",
+    };
+
+    std::vector<std::string> const responseSamples {
+        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nToucan-Load: 1/0/2\r\nToucan-State: serving\r\n\r\n{}",
+        "HTTP/1.1 503 Shed\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
+    };
+
+    std::vector<std::string> const frameSamples {
+        R"({"kind":"parts","from":"n","requests":[{"id":"r","service":"s","snapshot":"s1","class":1,"remaining":50.5,
+        "idempotent":true,"key":"k","body":"{}","parts":[{"attempt":"a","target":"t","shard":0}]}]})",
+        R"({"kind":"results","results":[{"attempt":"a","target":"t","status":1,"id":"r","snapshot":"s1","shard":0,
+        "hits":[{"id":"x","score":1.5}],"service":1.5,"queued":0,"retryAfter":0,"state":0,"load":[1,2,3],
+        "carrierQueue":4}]})",
+        R"({"kind":"command","correlation":"1","key":"k","id":"r","service":"s","record":"x","class":0,"remaining":9,
+        "body":"{}"})",
+        R"({"kind":"commandResult","key":"k","id":"r","outcome":"ran","status":200,"snapshot":"s1","shard":1,"hits":[],
+        "problem":{"type":"a","title":"b","detail":"c","remedy":"d"}})",
+        R"({"name":"n","address":"127.0.0.1:1","domain":"d","incarnation":5,"state":1})",
+        R"({"kind":"digest","version":3,"ownership":7,"members":[{"name":"n","address":"127.0.0.1:1","domain":"d",
+        "incarnation":5,"state":1}],"leaving":[["t",5.5]],"table":[{"range":1,"owner":"n","incarnation":5,"from":6,
+        "until":7,"revision":8}],"self":{"name":"entry-2","address":"127.0.0.1:2","domain":"d","incarnation":9}})",
+        R"({"kind":"probe","subject":"n","number":5})",
+        R"({"kind":"probed","peer":"entry-2","number":1})",
+        R"({"kind":"cancel","attempts":["a"]})",
+        R"({"kind":"fetch","known":["0"]})",
+        R"({"range":1,"owner":"n","incarnation":5,"from":6,"until":7,"revision":8})",
+        R"({"kind":"fetched","root":"{\"version\":1,\"changeId\":\"c\",\"author\":\"a\",\"time\":1,\"parts\":{}}",
+        "parts":{"0":"{}"}})",
+    };
+
+    std::vector<std::string> const settingsSamples {
+        R"(// fleet
+{ "fleet": { "nodes": { "entry-1": { "failureDomain": "wien-a" } }, "carriersPerTarget": 3 }, /* one node */
+  "classes": ["urgent", "background"],
+  "rules": { "parents": { "priority": "urgent", "deadlineMs": 59, "hedgeQuantile": 0.95,
+      "objective": { "latencyMs": 59, "ratio": 0.99 } } },
+  "services": { "app": { "rule": "parents",
+      "targets": { "a": { "address": "127.0.0.1:9001", "failureDomain": "wien-a", "slots": 2 } },
+      "snapshots": { "s1": { "sequence": 1, "shards": [["a"]] } } } } })",
+    };
+
+} // namespace
+
+static void require(bool condition, char const* what)
+{
+    if (!condition)
+        throw std::logic_error(what);
+}
+
+/// Bytes that arrive at once; a small odd number, so that the cuts fall everywhere.
+static constexpr size_t piece = 7;
+
+static void readCallerRequest(std::string_view text)
+{
+    HttpMessageReader reader(HttpMessageReader::Kind::Request, {});
+    std::string input;
+    for (size_t offset = 0; offset < text.size(); offset += piece) {
+        input.append(text.substr(offset, piece));
+        auto const status = reader.read(input);
+        if (status == HttpMessageReader::Status::NeedMore)
+            continue;
+        if (status != HttpMessageReader::Status::Complete)
+            return;
+        Poco::Net::HTTPResponse head;
+        try {
+            CallerMessages::parse({ reader.request(), reader.body() }, "fallback", 0_ms);
+        } catch (RefusedRequest const& refused) {
+            require(parseJson(CallerMessages::write(refused, head)).isObject(), "a problem is not a JSON object");
+        }
+        return;
+    }
+}
+
+static void readTargetResponse(std::string_view text)
+{
+    HttpMessageReader reader(HttpMessageReader::Kind::Response, {});
+    std::string input(text);
+    reader.read(input);
+}
+
+/// Empty for what FrameSession refuses by itself.
+static std::optional<Json::Value> parseFrame(std::string_view text)
+{
+    try {
+        if (auto frame = parseJson(text); frame.isObject())
+            return frame;
+    } catch (Error const&) {
+        // The session ends.
+    }
+    return std::nullopt;
+}
+
+static void decodeFrame(std::string_view text)
+{
+    static std::vector<std::function<void(Json::Value const&)>> const decoders {
+        [](Json::Value const& frame) { FrameCodec::decodeParts(frame); },
+        [](Json::Value const& frame) { FrameCodec::decodeResults(frame); },
+        [](Json::Value const& frame) { FrameCodec::decodeCommand(frame); },
+        [](Json::Value const& frame) { FrameCodec::decodeVerdict(frame); },
+        [](Json::Value const& frame) { FrameCodec::decodePeer(frame); },
+        [](Json::Value const& frame) { FrameCodec::decodeRecord(frame); },
+        [](Json::Value const& frame) { FrameCodec::decodeUpdate(frame); },
+    };
+    auto const frame = parseFrame(text);
+    if (!frame)
+        return;
+    for (auto const& decode : decoders) {
+        try {
+            decode(*frame);
+        } catch (Error const&) {
+            // Counted and dropped.
+        }
+    }
+}
+
+static NodeEngine::Hooks silentHooks()
+{
+    NodeEngine::Hooks hooks;
+    hooks.sendFrame = [](std::string const&, std::string const&, Json::Value&&) {};
+    hooks.callTarget = [](TargetCall const&) {};
+    hooks.cancelTargetCall = [](AttemptId const&, std::string const&) {};
+    hooks.pollTarget = [](std::string const&, std::string const&) {};
+    hooks.answerCaller = [](CallerAnswer&&) {};
+    hooks.requestStore = [](StoreRequest&&) {};
+    hooks.setWatching = [](bool) {};
+    hooks.random = [] { return 0.5; };
+    hooks.wallClock = [] { return Milliseconds { 1e12 }; };
+    return hooks;
+}
+
+static void handleFrame(std::string_view text)
+{
+    auto frame = parseFrame(text);
+    if (!frame)
+        return;
+    if (!frame->isMember("from"))
+        (*frame)["from"] = "entry-2";
+    NodeEngine engine(silentHooks(), { "entry-1", "wien-a", "127.0.0.1:1", 5 },
+        { { "entry-2", "127.0.0.1:2", "wien-b", 5, PeerState::Unknown } }, 0_ms);
+    engine.onFrame(*frame, 1_ms);
+    for (auto const now : { 100_ms, 2000_ms, 20000_ms })
+        engine.advance(now);
+    engine.describe(20000_ms);
+}
+
+static void mergeFolder(std::string_view text)
+{
+    try {
+        FolderMerge::create({ { "10-good.json", settingsSamples.front() }, { "20-fuzz.json", std::string(text) } });
+    } catch (SettingsError const& error) {
+        require(!error.faults().empty(), "a refusal names no fault");
+    }
+}
+
+static void readSettings(std::string_view text)
+{
+    try {
+        auto const settings = SettingsText::create("node.json", text);
+        require(settings.lineOf("/fleet/nodes") >= 1, "a value has no line");
+    } catch (SettingsError const& error) {
+        require(!error.faults().empty(), "a refusal names no fault");
+    }
+}
+
+std::vector<Input> const& inputs()
+{
+    static std::vector<Input> const result {
+        { "caller-request", readCallerRequest, requestSamples },
+        { "target-response", readTargetResponse, responseSamples },
+        { "frame-codec", decodeFrame, frameSamples },
+        { "engine-frame", handleFrame, frameSamples },
+        { "configuration-folder", mergeFolder, settingsSamples },
+        { "settings-file", readSettings, settingsSamples },
+    };
+    return result;
+}
+
+} // namespace Toucan::Fuzz
