Close the listeners first when peer links and the HTTP server end

Cause: closing a listener accepts the connections that the kernel holds. The destructors closed their sessions before, so a connection that came late left a session that nobody closed. A run of the unit tests with the sanitizers reported 648 bytes leaked from PeerLinks (1 of 2 full runs); HttpServer had the same order. Change: ~PeerLinks() and ~HttpServer() close the listener first.

--- a/Libraries/Net/HttpServer.cpp
+++ b/Libraries/Net/HttpServer.cpp
@@ -15,6 +15,8 @@
 
 HttpServer::~HttpServer()
 {
+    // Closing the listener accepts what the kernel holds, so it comes before the sessions are closed.
+    this->listener.close();
     for (auto const& session : std::exchange(this->sessions, {}))
         session->close();
 }
--- a/Libraries/Node/PeerLinks.cpp
+++ b/Libraries/Node/PeerLinks.cpp
@@ -23,6 +23,8 @@
 
 PeerLinks::~PeerLinks()
 {
+    // Closing the listener accepts what the kernel holds, so it comes before the sessions are closed.
+    this->listener.close();
     for (auto const& [peer, link] : this->outgoing) {
         if (link.session)
             link.session->close();
