Take hedge delay and extra-load budget by rule

Cause: each node of a fleet sees few parts of one service. The service's own quantile was that of one slow replica or did not exist, and its own token bucket, 0.1 to 0.3 tokens a second, was empty when a straggler came. Change: the token bucket and, below 400 recent parts, the hedge delay belong to the rule that services share.

--- a/Libraries/Configuration/Configuration.h
+++ b/Libraries/Configuration/Configuration.h
@@ -62,7 +62,7 @@
     /// Least merged share of the shards, 0 to 1, with which a partial answer may be given.
     double minimumCoverage { 1.0 };
     Feature hedge { Feature::On };
-    /// Quantile, 0 to 1, of the service's part latency after which a hedge is sent.
+    /// Quantile, 0 to 1, of the part latency after which a hedge is sent.
     double hedgeQuantile { 0.95 };
     /// Hedges and retries allowed per first attempt.
     double extraLoadBudget { 0.05 };
--- a/Libraries/Engine/CommandRunner.cpp
+++ b/Libraries/Engine/CommandRunner.cpp
@@ -26,7 +26,7 @@
     command.rule = &command.configuration->ruleOf(*command.service);
     if (command.deadline <= now)
         return this->finish(command, Outcome::NotRun, deadlineExceeded(), nullptr);
-    this->state.statisticsOf(command.service->name).extraLoad.fill(command.rule->extraLoadBudget);
+    this->state.statisticsOf(*command.rule).extraLoad.fill(command.rule->extraLoadBudget);
     this->send(command, now);
 }
 
@@ -96,7 +96,7 @@
         return this->send(command, now);
     if (this->state.overloaded(command.service->name, *command.rule, now))
         return refuse();
-    if (this->state.statisticsOf(command.service->name).extraLoad.tryTake())
+    if (this->state.statisticsOf(*command.rule).extraLoad.tryTake())
         return this->send(command, now);
     this->scheduleAt(command, now + retryPause);
 }
--- a/Libraries/Engine/CoordinatorState.cpp
+++ b/Libraries/Engine/CoordinatorState.cpp
@@ -7,6 +7,8 @@
 static constexpr Milliseconds overloadHold { 500 };
 /// Share of the deadline that a part may wait in a carrier's queue before the service counts as overloaded.
 static constexpr double overloadWaitShare = 0.5;
+/// Recent parts from which on a service's own tail quantile is used.
+static constexpr double ownTailCount = 400;
 static constexpr Milliseconds defaultBackOff { 10 };
 static constexpr Milliseconds longestBackOff { 5000 };
 static constexpr double backOffJitter = 0.5;
@@ -24,6 +26,14 @@
     return this->statisticsOf(service).partLatency.quantile(0.5, now).value_or(defaultMedian);
 }
 
+std::optional<Milliseconds> CoordinatorState::hedgeDelay(std::string const& service, Rule const& rule, Milliseconds now)
+{
+    auto const& own = this->statisticsOf(service).partLatency;
+    if (own.count() >= ownTailCount)
+        return own.quantile(rule.hedgeQuantile, now);
+    return this->statisticsOf(rule).partLatency.quantile(rule.hedgeQuantile, now);
+}
+
 bool CoordinatorState::overloaded(std::string const& service, Rule const& rule, Milliseconds now)
 {
     return rule.limits == Feature::On && now < this->statisticsOf(service).overloadedUntil;
@@ -62,8 +72,11 @@
     known.addLowerBound(elapsed, now);
     // Without the losers the histogram would show only the fast parts, and hedges would come too early.
     if (auto& latency = this->statisticsOf(pending.service).partLatency;
-        elapsed > this->medianLatency(pending.service, now))
+        elapsed > this->medianLatency(pending.service, now)) {
         latency.add(elapsed, now);
+        if (auto const* service = this->configuration->service(pending.service))
+            this->statisticsOf(this->configuration->ruleOf(*service)).partLatency.add(elapsed, now);
+    }
     this->reviewEjection(pending.service, pending.target, now);
     this->outbox.post([this, attempt, target = pending.target] { this->hooks.cancelPart(attempt, target); });
     this->attempts.erase(found);
@@ -128,6 +141,7 @@
     if (status == PartStatus::Complete) {
         known.addSuccess(result.service, now);
         statistics.partLatency.add(now - attempt.sent, now);
+        this->statisticsOf(rule).partLatency.add(now - attempt.sent, now);
     } else if (isFailure(status) && !isLossOfCarrier(result)) {
         known.addFailure();
     }
@@ -189,11 +203,13 @@
     result["services"] = Json::Value(Json::objectValue);
     for (auto const& [name, known] : this->statistics) {
         auto& service = result["services"][name];
-        service["extraLoadTokens"] = known.extraLoad.available();
         service["overloaded"] = now < known.overloadedUntil;
         if (auto const median = known.partLatency.quantile(0.5, now))
             service["medianPartMs"] = median->value;
     }
+    result["rules"] = Json::Value(Json::objectValue);
+    for (auto const& [name, known] : this->ruleStatistics)
+        result["rules"][name]["extraLoadTokens"] = known.extraLoad.available();
     return result;
 }
 
--- a/Libraries/Engine/CoordinatorState.h
+++ b/Libraries/Engine/CoordinatorState.h
@@ -48,8 +48,13 @@
     void setConfiguration(ConfigurationPointer next, Milliseconds now);
     Json::Value describe(Milliseconds now);
     ServiceStatistics& statisticsOf(std::string const& service) { return this->statistics[service]; }
+    RuleStatistics& statisticsOf(Rule const& rule) { return this->ruleStatistics[rule.name]; }
     /// Median part latency of the service, or a small default while it is unknown.
     Milliseconds medianLatency(std::string const& service, Milliseconds now);
+    /// Time after which a part is hedged; empty while too little is known. A service with few recent parts on this node
+    /// uses the latencies of all services under its rule: a tail quantile of few values is often that of one slow
+    /// replica.
+    std::optional<Milliseconds> hedgeDelay(std::string const& service, Rule const& rule, Milliseconds now);
     bool overloaded(std::string const& service, Rule const& rule, Milliseconds now);
 
     /// Registers an attempt at the target and posts its message. `remaining` is the time left for it.
@@ -75,6 +80,7 @@
     ReplicaSelector selector;
     EjectionPolicy ejection;
     std::unordered_map<std::string, ServiceStatistics> statistics;
+    std::unordered_map<std::string, RuleStatistics> ruleStatistics;
     std::unordered_map<AttemptId, PendingAttempt> attempts;
     CoordinatorCounters counters;
 };
--- a/Libraries/Engine/LatencyHistogram.h
+++ b/Libraries/Engine/LatencyHistogram.h
@@ -16,6 +16,8 @@
     void add(Milliseconds latency, Milliseconds now);
     /// Empty while there are too few values.
     std::optional<Milliseconds> quantile(double ratio, Milliseconds now) const;
+    /// Values of the last one to two periods.
+    double count() const { return this->counts[0] + this->counts[1]; }
 
 private:
     using Axis = boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>;
--- a/Libraries/Engine/QueryRunner.cpp
+++ b/Libraries/Engine/QueryRunner.cpp
@@ -43,8 +43,7 @@
     query.deadline = deadline;
     this->numbers[query.request.handle] = number;
     this->scheduleAt(query, deadline);
-    this->state.statisticsOf(service->name)
-        .extraLoad.fill(rule.extraLoadBudget * static_cast<double>(snapshot->shards.size()));
+    this->state.statisticsOf(rule).extraLoad.fill(rule.extraLoadBudget * static_cast<double>(snapshot->shards.size()));
     this->sendAll(query, now);
     this->eraseIfFinished(number);
 }
@@ -93,8 +92,7 @@
     else
         ++counters.retries;
     if (query.rule->hedge == Feature::On && !progress.hedged) {
-        auto const delay
-            = this->state.statisticsOf(query.service->name).partLatency.quantile(query.rule->hedgeQuantile, now);
+        auto const delay = this->state.hedgeDelay(query.service->name, *query.rule, now);
         progress.hedgeAt = delay ? now + std::max(*delay, shortestHedgeDelay) : never;
         this->scheduleAt(query, progress.hedgeAt);
     }
@@ -153,7 +151,7 @@
         return this->failShard(query, shard, now);
     auto const untried = this->state.selector.choose(
         *query.service, *query.rule, *query.snapshot, shard, progress.tried, Milliseconds { 1 }, now);
-    auto& extraLoad = this->state.statisticsOf(query.service->name).extraLoad;
+    auto& extraLoad = this->state.statisticsOf(*query.rule).extraLoad;
     if (!untried) {
         // Every usable replica failed once; a second round follows after a pause.
         progress.tried.clear();
@@ -193,7 +191,7 @@
         *query.service, *query.rule, *query.snapshot, shard, progress.tried, Milliseconds { 1 }, now);
     if (!another)
         return;
-    if (!this->state.statisticsOf(query.service->name).extraLoad.tryTakeForHedge()) {
+    if (!this->state.statisticsOf(*query.rule).extraLoad.tryTakeForHedge()) {
         progress.hedgeAt = now + retryPause;
         return;
     }
--- a/Tests/Engine/TestCoordinatorMechanisms.cpp
+++ b/Tests/Engine/TestCoordinatorMechanisms.cpp
@@ -1,4 +1,5 @@
 #include "CoordinatorFixture.h"
+#include "Engine/CoordinatorState.h"
 
 #include "Engine/LatencyHistogram.h"
 #include "Engine/TargetEvidence.h"
@@ -158,6 +159,24 @@
     CHECK(!bucket.tryTake());
 }
 
+// Guards against a service with few parts on each node that is never hedged, or hedged by the latency of one slow
+// replica.
+TEST(CoordinatorMechanisms, HedgeDelayOfAQuietServiceComesFromItsRule)
+{
+    CoordinatorState state({}, "n1/1");
+    Rule rule;
+    rule.name = "rule";
+    CHECK(!state.hedgeDelay("quiet", rule, 0_ms));
+    for (int index = 0; index < 100; ++index)
+        state.statisticsOf(rule).partLatency.add(4_ms, 0_ms);
+    for (int index = 0; index < 100; ++index)
+        state.statisticsOf("quiet").partLatency.add(40_ms, 0_ms);
+    CHECK(*state.hedgeDelay("quiet", rule, 0_ms) < 5_ms);
+    for (int index = 0; index < 300; ++index)
+        state.statisticsOf("quiet").partLatency.add(40_ms, 0_ms);
+    CHECK(*state.hedgeDelay("quiet", rule, 50_ms) >= 40_ms);
+}
+
 // Guards against a retry storm: a refusal of a carrier ends the query at once while limits are on.
 TEST(CoordinatorMechanisms, NoRetryUnderOverload)
 {
