--- a/Tests/Fuzz/libfuzzer/main.cpp
+++ b/Tests/Fuzz/libfuzzer/main.cpp
@@ -24,6 +24,8 @@
 }
 
 /// Writes the samples of the chosen input into the folder TOUCAN_FUZZ_CORPUS, if it is set.
+// libFuzzer fixes the names of its entry points.
+// NOLINTNEXTLINE(readability-identifier-naming)
 extern "C" int LLVMFuzzerInitialize(int*, char***)
 {
     auto const* input = chosenInput();
@@ -36,6 +38,7 @@
     return 0;
 }
 
+// NOLINTNEXTLINE(readability-identifier-naming)
 extern "C" int LLVMFuzzerTestOneInput(uint8_t const* data, size_t size)
 {
     static auto const* const input = chosenInput();
