Hold parts of a new carrier until the target's first status

Change: a carrier polls a target at once when it becomes its carrier and sends nothing before the first status or 500 ms.

--- a/Libraries/Engine/CarriedTarget.cpp
+++ b/Libraries/Engine/CarriedTarget.cpp
@@ -7,6 +7,7 @@
 namespace Toucan {
 
 static constexpr double smoothing = 0.1;
+static constexpr Milliseconds firstStatusWait { 500 };
 /// The network layer ends a call at its deadline; a call without an end after this time frees its slot.
 static constexpr Milliseconds overdueGrace { 250 };
 static constexpr Milliseconds defaultBackOff { 10 };
@@ -30,6 +31,8 @@
     this->rule = nextRule;
     this->connectionShare = share;
     this->retired = false;
+    if (this->firstStatusBound == noWakeup)
+        this->firstStatusBound = now + firstStatusWait;
     this->slotLimit.setSlots(next.slots);
     if (lowest != this->lowestClass) {
         this->lowestClass = lowest;
@@ -115,7 +118,7 @@
 
 void CarriedTarget::sendReady(Milliseconds now)
 {
-    if (this->retired || this->isLeaving())
+    if (this->retired || this->isLeaving() || this->awaitsFirstStatus(now))
         return;
     for (auto next = this->queue.firstClass(); next && this->mayStart(*next, now); next = this->queue.firstClass()) {
         auto part = *this->queue.pop();
@@ -154,6 +157,7 @@
 void CarriedTarget::onAnswer(TargetAnswer&& answer, Milliseconds now)
 {
     if (answer.transport == TargetAnswer::Transport::Answered) {
+        this->stateKnown = true;
         this->state.set(answer.state, now);
         this->load = answer.load;
     }
@@ -198,6 +202,7 @@
 
 void CarriedTarget::onStatus(TargetState next, TargetLoad const& reported, Milliseconds now)
 {
+    this->stateKnown = true;
     this->state.set(next, now);
     this->load = reported;
     this->returnQueueOfLeaving(now);
@@ -311,7 +316,8 @@
 Milliseconds CarriedTarget::nextWakeup() const
 {
     auto const timer = this->timers.empty() ? noWakeup : this->timers.begin()->first;
-    return std::min(timer, this->backOffWakeup);
+    auto const next = std::min(timer, this->backOffWakeup);
+    return this->stateKnown || this->queue.empty() ? next : std::min(next, this->firstStatusBound);
 }
 
 Json::Value CarriedTarget::describe(Milliseconds now) const
--- a/Libraries/Engine/CarriedTarget.h
+++ b/Libraries/Engine/CarriedTarget.h
@@ -68,6 +68,10 @@
     };
 
     bool isLeaving() const;
+    /// A node that has just started, or just become a carrier, does not know whether the target is leaving. Parts wait
+    /// for its first status, so that it gets no new work if it is; a target that does not answer ends the wait by its
+    /// bound.
+    bool awaitsFirstStatus(Milliseconds now) const { return !this->stateKnown && now < this->firstStatusBound; }
     uint32_t slots() const;
     bool mayStart(uint32_t classIndex, Milliseconds now) const;
     Milliseconds expectedWait(uint32_t classIndex, Milliseconds now) const;
@@ -93,6 +97,8 @@
     uint32_t connectionShare { 1 };
     uint32_t lowestClass { 0 };
     bool retired { false };
+    bool stateKnown { false };
+    Milliseconds firstStatusBound { noWakeup };
     PartQueue queue;
     std::unordered_map<AttemptId, Call> calls;
     uint32_t lowestClassCalls { 0 };
--- a/Libraries/Engine/Carrier.cpp
+++ b/Libraries/Engine/Carrier.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <limits>
 #include <map>
+#include <utility>
 
 namespace Toucan {
 
@@ -18,6 +19,8 @@
         std::unique_ptr<CarriedTarget> target;
         std::string address;
         Milliseconds nextPoll;
+        /// Lengthens the first period.
+        Milliseconds phase;
     };
 
     Implementation(Hooks hooks, std::string nodeName)
@@ -85,8 +88,9 @@
         auto& entry = this->targets[target.name];
         if (!entry.target) {
             entry.target = std::make_unique<CarriedTarget>(this->context, target.name);
-            // Random phases spread the polls of the nodes over the period.
-            entry.nextPoll = now + pollPeriod * this->context.hooks.random();
+            entry.nextPoll = now;
+            // Random phases after the first poll spread the polls of the nodes over the period.
+            entry.phase = pollPeriod * this->context.hooks.random();
         }
         entry.address = target.address;
         auto const lowestClass = classes.empty() ? 0 : static_cast<uint32_t>(classes.size() - 1);
@@ -139,7 +143,7 @@
     {
         if (now < entry.nextPoll || entry.target->isRetired())
             return;
-        entry.nextPoll = now + pollPeriod;
+        entry.nextPoll = now + pollPeriod + std::exchange(entry.phase, {});
         ++this->context.counters.polls;
         this->context.outbox.post(
             [this, name, address = entry.address] { this->context.hooks.pollStatus(name, address); });
--- a/Programs/tg-bench/main.cpp
+++ b/Programs/tg-bench/main.cpp
@@ -352,6 +352,9 @@
                 carried.emplace_back(serviceName, targetName);
         }
     }
+    // A carrier sends nothing before the first status of a target.
+    for (auto const& [serviceName, targetName] : carried)
+        node.core.carrier.onTargetStatus(targetName, TargetState::Serving, {}, node.now);
     auto const body = std::make_shared<std::string const>(R"({"limit":10,"text":"carrot"})");
     double cpu = 0;
     uint32_t answered = 0;
--- a/Tests/Engine/TestCarrier.cpp
+++ b/Tests/Engine/TestCarrier.cpp
@@ -23,7 +23,11 @@
                           [] { return 0.5; }, {} },
         "n1" };
 
-    void setup() override { carrier.setConfiguration(configuration.pointer(), now); }
+    void setup() override
+    {
+        carrier.setConfiguration(configuration.pointer(), now);
+        carrier.onTargetStatus("a", TargetState::Serving, {}, now);
+    }
 
     void submit(AttemptId const& attempt, uint32_t classIndex = 1, Milliseconds remaining = 50_ms,
         Idempotence idempotence = Idempotence::Idempotent)
@@ -280,6 +284,8 @@
     auto const carries = [&](AttemptId const& attempt) {
         configuration.value.version += 1;
         carrier.setConfiguration(configuration.pointer(), now);
+        // A carrier that has just become one waits for the first status.
+        carrier.onTargetStatus("a", TargetState::Serving, {}, now);
         auto const before = calls.size();
         submit(attempt);
         bool const sent = calls.size() > before;
@@ -321,3 +327,49 @@
         CHECK(statusOf(name("crossed"), "another", status) == PartStatus::Mismatch);
     }
 }
+
+// Guards against work that a node which has just started sends to a target that is leaving.
+TEST(Carrier, NewCarrierWaitsForTheFirstStatus)
+{
+    Carrier fresh { { [this](TargetCall const& call) { calls.push_back(call); },
+                        [](AttemptId const&, std::string const&) {},
+                        [this](std::string const&, PartResult&& result) { results.push_back(std::move(result)); },
+                        [this](std::string const& target, std::string const&) { polls.push_back(target); },
+                        [] { return 0.5; }, {} },
+        "n1" };
+    fresh.setConfiguration(configuration.pointer(), now);
+    fresh.advance(now);
+    CHECK(std::ranges::find(polls, "a") != polls.end());
+    PartRequest part;
+    part.attempt = "p1";
+    part.service = "s";
+    part.target = "a";
+    part.snapshot = "s1";
+    part.remaining = 2000_ms;
+    fresh.submit("n1", PartRequest(part), now);
+    LONGS_EQUAL(0, calls.size());
+    fresh.onTargetStatus("a", TargetState::Draining, {}, now);
+    LONGS_EQUAL(0, calls.size());
+    CHECK(results.at(0).status == PartStatus::Shed);
+}
+
+// Guards against parts that wait until their deadline for a target whose status endpoint does not answer.
+TEST(Carrier, TheWaitForTheFirstStatusIsBounded)
+{
+    Carrier fresh { { [this](TargetCall const& call) { calls.push_back(call); },
+                        [](AttemptId const&, std::string const&) {},
+                        [this](std::string const&, PartResult&& result) { results.push_back(std::move(result)); },
+                        [](std::string const&, std::string const&) {}, [] { return 0.5; }, {} },
+        "n1" };
+    fresh.setConfiguration(configuration.pointer(), now);
+    PartRequest part;
+    part.attempt = "p1";
+    part.service = "s";
+    part.target = "a";
+    part.snapshot = "s1";
+    part.remaining = 2000_ms;
+    fresh.submit("n1", PartRequest(part), now);
+    CHECK(fresh.nextWakeup() <= now + 500_ms);
+    fresh.advance(now + 500_ms);
+    LONGS_EQUAL(1, calls.size());
+}
