--- a/Scripts/toucanfleet.py
+++ b/Scripts/toucanfleet.py
@@ -11,6 +11,7 @@
 
 import argparse
 import dataclasses
+import fcntl
 import http.client
 import json
 import os
@@ -22,12 +23,14 @@
 import subprocess
 import sys
 import tempfile
+import threading
 import time
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 HOST = "127.0.0.1"
 # Below the range from which Linux takes ports for outgoing connections, so that a chosen port stays free.
 PORT_RANGE = range(15000, 32000)
+PORT_BLOCK = 1000
 READY_TIMEOUT_S = 20
 STOP_TIMEOUT_S = 20
 
@@ -93,24 +96,55 @@
 
 
 class Ports:
-    """Hands out free ports of the loopback address."""
-
-    def __init__(self):
-        self.next = random.SystemRandom().choice(PORT_RANGE)
+    """Hands out free ports of the loopback address from a block that no other process on this computer uses.
+
+    A port that is only found free can be taken by a fleet of another process before its own program binds it.
+    """
+
+    _lock = threading.Lock()
+    _block_lock_file = None
+    _block = None
+    _next = 0
+
+    @classmethod
+    def _claim_block(cls):
+        """Locks a block of ports for the life of this process; all fleets of the process share it."""
+        starts = list(range(PORT_RANGE.start, PORT_RANGE.stop - PORT_BLOCK + 1, PORT_BLOCK))
+        random.SystemRandom().shuffle(starts)
+        for start in starts:
+            lock = open(pathlib.Path(tempfile.gettempdir()) / f"toucangauge-ports-{start}.lock", "w", encoding="utf-8")
+            try:
+                fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            except OSError:
+                lock.close()
+                continue
+            cls._block_lock_file = lock
+            cls._block = range(start, start + PORT_BLOCK)
+            cls._next = start - 1
+            return
+        raise RuntimeError("No free block of ports; end other fleets")
 
     def take(self):
         """Returns a port on which nobody listens at this moment."""
-        for _ in PORT_RANGE:
-            self.next = self.next + 1 if self.next + 1 in PORT_RANGE else PORT_RANGE.start
-            with socket.socket() as probe:
-                probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-                try:
-                    probe.bind((HOST, self.next))
-                    return self.next
-                except OSError:
-                    continue
+        with Ports._lock:
+            if Ports._block is None:
+                Ports._claim_block()
+            for _ in Ports._block:
+                Ports._next = Ports._next + 1 if Ports._next + 1 in Ports._block else Ports._block.start
+                if self._is_free(Ports._next):
+                    return Ports._next
         raise RuntimeError("No free port; end other fleets")
 
+    @staticmethod
+    def _is_free(port):
+        with socket.socket() as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                return False
+            return True
+
     def address(self):
         """Returns a free address as text."""
         return f"{HOST}:{self.take()}"
