--- a/Libraries/Engine/QueryRunner.cpp
+++ b/Libraries/Engine/QueryRunner.cpp
@@ -167,8 +167,13 @@
 {
     if (query.restarts >= mostRestarts || query.deadline - now < this->state.medianLatency(query.service->name, now))
         return false;
-    auto const* snapshot = this->state.selector.newestComplete(*query.service, now);
-    if (!snapshot || snapshot == query.snapshot)
+    // The snapshot that replaces the pinned one may have been published after the query began.
+    auto const& configuration = this->state.configuration;
+    auto const* service = configuration->service(query.service->name);
+    if (!service)
+        return false;
+    auto const* snapshot = this->state.selector.newestComplete(*service, now);
+    if (!snapshot || snapshot->id == query.snapshot->id)
         return false;
     ++query.restarts;
     ++this->state.counters.restarts;
@@ -177,6 +182,9 @@
     this->cancelAll(query, now);
     query.hits.clear();
     query.snapshot = snapshot;
+    query.service = service;
+    query.rule = &configuration->ruleOf(*service);
+    query.configuration = configuration;
     this->sendAll(query, now);
     return true;
 }
--- a/Tests/Engine/TestCoordinatorMechanisms.cpp
+++ b/Tests/Engine/TestCoordinatorMechanisms.cpp
@@ -85,6 +85,31 @@
     LONGS_EQUAL(1, fixture.counter("restarts"));
 }
 
+// Guards against a query that fails because the snapshot which replaces its own was published after it began.
+TEST(CoordinatorMechanisms, RestartsAtASnapshotOfALaterConfiguration)
+{
+    fixture.configure(configuration);
+    fixture.start(1);
+    auto const parts = fixture.takeParts();
+    configuration.addSnapshot("s2", 2, { { "a" }, { "b" } });
+    fixture.configure(configuration);
+    for (auto const& part : parts)
+        fixture.give(part, PartStatus::SnapshotGone);
+    // Every replica of a shard is asked before the snapshot counts as dropped.
+    for (int round = 0; round < 4 && fixture.counter("restarts") == 0; ++round) {
+        for (auto const& part : fixture.takeParts())
+            fixture.give(part, PartStatus::SnapshotGone);
+    }
+    LONGS_EQUAL(1, fixture.counter("restarts"));
+    // Retries at the old snapshot, cancelled by the restart, may be among them; their parts must count nothing.
+    for (auto const& part : fixture.takeParts())
+        fixture.give(part);
+    LONGS_EQUAL(200, fixture.answers.at(0).status);
+    STRCMP_EQUAL("s2", fixture.answers.at(0).snapshot.c_str());
+    LONGS_EQUAL(2, fixture.answers.at(0).coverage.merged);
+    LONGS_EQUAL(2, fixture.answers.at(0).hits.size());
+}
+
 // Guards against a restart that cannot end before the deadline.
 TEST(CoordinatorMechanisms, NoRestartWithoutTimeForIt)
 {
