Test that a new VM gets its configuration from peers in a store outage

Cause: this was covered by unit tests of ConfigurationState only. Change: an integration test kills a node while the store is down, starts it again and compares versions.

--- a/Tests/Integration/test_store_outage.py
+++ b/Tests/Integration/test_store_outage.py
@@ -3,11 +3,13 @@
 import pathlib
 import sys
 import tempfile
+import time
 import unittest
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[2] / "Scripts"))
 
 import store_outage  # noqa: E402  (the path is set above)
+from toucanfleet import Fleet, call  # noqa: E402
 
 
 class StoreOutageTest(unittest.TestCase):
@@ -23,6 +25,26 @@
                 self.assertEqual(phase.good, phase.sent)
             self.assertGreater(phases["during"].sent, 300)
 
+    def test_new_vm_gets_its_configuration_from_peers(self):
+        """Guards against a replaced VM that stays without configuration, or takes an older one, while the store is down."""
+        with tempfile.TemporaryDirectory() as folder, Fleet(folder, "loeffelchen", "small") as fleet:
+            # A second version, so that "the newest" differs from "the first".
+            drained = next(iter(fleet.target_settings))
+            self.assertEqual(fleet.tgctl("drain", drained).returncode, 0)
+            time.sleep(1)
+            call(fleet.platform, "POST", "/control", {"outage": True})
+            fleet.kill("entry-2")
+            fleet.start_node("entry-2")
+            started = time.monotonic()
+            fleet.wait_ready("entry-2")
+            elapsed = time.monotonic() - started
+            self.assertEqual(fleet.configuration_version("entry-2"), fleet.configuration_version("entry-1"))
+            answer = fleet.query("entry-2", "recipe-catalogue", {"text": "carrot", "limit": 5})
+            self.assertEqual(answer.status, 200)
+            call(fleet.platform, "POST", "/control", {"outage": False})
+        print(f"ready after {elapsed:.1f} s", end=" ", flush=True)
+        self.assertLess(elapsed, 10)
+
 
 if __name__ == "__main__":
     unittest.main()
