Make results without an answer in one place

Cause: duplicates listed the same six assignments in NodeCore, Carrier and CarriedTarget. Change: resultWithoutAnswer() in Messages.h.

--- a/Libraries/Engine/CarriedTarget.cpp
+++ b/Libraries/Engine/CarriedTarget.cpp
@@ -262,13 +262,7 @@
     auto& counters = this->context.counters;
     counters.refused += status == PartStatus::Refused ? 1 : 0;
     counters.expired += status == PartStatus::ExpiredInQueue ? 1 : 0;
-    PartResult result;
-    result.attempt = part.request.attempt;
-    result.target = part.request.target;
-    result.status = status;
-    result.requestId = part.request.requestId;
-    result.snapshot = part.request.snapshot;
-    result.shard = part.request.shard;
+    auto result = resultWithoutAnswer(part.request, status);
     result.queued = now - part.arrived;
     result.state = this->isLeaving() ? TargetState::Draining : this->state.get();
     result.load = this->load;
--- a/Libraries/Engine/Carrier.cpp
+++ b/Libraries/Engine/Carrier.cpp
@@ -127,13 +127,7 @@
 
     void refuseUncarried(std::string const& sender, PartRequest const& part)
     {
-        PartResult result;
-        result.attempt = part.attempt;
-        result.target = part.target;
-        result.status = PartStatus::NoCarrier;
-        result.requestId = part.requestId;
-        result.snapshot = part.snapshot;
-        result.shard = part.shard;
+        auto result = resultWithoutAnswer(part, PartStatus::NoCarrier);
         this->context.outbox.post([this, sender, result = std::move(result)]() mutable {
             this->context.hooks.result(sender, std::move(result));
         });
--- a/Libraries/Engine/Messages.h
+++ b/Libraries/Engine/Messages.h
@@ -165,6 +165,19 @@
     uint32_t carrierQueue { 0 };
 };
 
+/// Result of a part that ends without an answer of its target.
+inline PartResult resultWithoutAnswer(PartRequest const& part, PartStatus status)
+{
+    PartResult result;
+    result.attempt = part.attempt;
+    result.target = part.target;
+    result.status = status;
+    result.requestId = part.requestId;
+    result.snapshot = part.snapshot;
+    result.shard = part.shard;
+    return result;
+}
+
 /// What the network layer reports for one HTTP exchange with a target.
 struct TargetAnswer {
     AttemptId attempt;
--- a/Libraries/Engine/NodeCore.cpp
+++ b/Libraries/Engine/NodeCore.cpp
@@ -154,14 +154,7 @@
 
 void NodeCore::refuse(std::string const& sender, PartRequest const& part, PartStatus status)
 {
-    PartResult result;
-    result.attempt = part.attempt;
-    result.target = part.target;
-    result.status = status;
-    result.requestId = part.requestId;
-    result.snapshot = part.snapshot;
-    result.shard = part.shard;
-    this->deliverResult(sender, std::move(result));
+    this->deliverResult(sender, resultWithoutAnswer(part, status));
 }
 
 void NodeCore::submitParts(std::string const& sender, std::vector<PartRequest>&& parts, Milliseconds now)
