Remove a dead function and share the set-up of the carrier's tests

Cause: DigestExchange::leavingTargets() has no caller since readers of the VM list act on their news themselves, and two tests of the carrier repeated its hooks and a part request. Change: the function is gone; TestCarrier has hooks() and makePart(). The assertions are the same. The integration tests were not run again for this commit.

--- a/Libraries/Engine/DigestExchange.cpp
+++ b/Libraries/Engine/DigestExchange.cpp
@@ -113,14 +113,4 @@
     }
 }
 
-std::vector<std::string> DigestExchange::leavingTargets(Milliseconds now) const
-{
-    std::vector<std::string> names;
-    for (auto const& [target, seen] : this->leaving) {
-        if (now - seen <= leavingLifetime)
-            names.push_back(target);
-    }
-    return names;
-}
-
 } // namespace Toucan
--- a/Libraries/Engine/DigestExchange.h
+++ b/Libraries/Engine/DigestExchange.h
@@ -37,7 +37,6 @@
     void receive(std::string const& peer, Json::Value const& frame, Milliseconds now);
     /// Names from the VM list, when this node reads it. Targets that left the list stop being spread.
     void setLeavingTargets(std::vector<std::string> const& names, Milliseconds now);
-    std::vector<std::string> leavingTargets(Milliseconds now) const;
 
 private:
     uint64_t ownershipHash() const;
--- a/Tests/Engine/TestCarrier.cpp
+++ b/Tests/Engine/TestCarrier.cpp
@@ -16,12 +16,16 @@
     std::vector<PartResult> results;
     std::vector<std::string> polls;
     Milliseconds now { 1000 };
-    Carrier carrier { { [this](TargetCall const& call) { calls.push_back(call); },
-                          [this](AttemptId const& attempt, std::string const&) { cancelled.push_back(attempt); },
-                          [this](std::string const&, PartResult&& result) { results.push_back(std::move(result)); },
-                          [this](std::string const& target, std::string const&) { polls.push_back(target); },
-                          [] { return 0.5; }, {} },
-        "n1" };
+    Carrier carrier { hooks(), "n1" };
+
+    Carrier::Hooks hooks()
+    {
+        return { [this](TargetCall const& call) { calls.push_back(call); },
+            [this](AttemptId const& attempt, std::string const&) { cancelled.push_back(attempt); },
+            [this](std::string const&, PartResult&& result) { results.push_back(std::move(result)); },
+            [this](std::string const& target, std::string const&) { polls.push_back(target); }, [] { return 0.5; },
+            {} };
+    }
 
     void setup() override
     {
@@ -29,7 +33,7 @@
         carrier.onTargetStatus("a", TargetState::Serving, {}, now);
     }
 
-    void submit(AttemptId const& attempt, uint32_t classIndex = 1, Milliseconds remaining = 50_ms,
+    static PartRequest makePart(AttemptId const& attempt, uint32_t classIndex = 1, Milliseconds remaining = 50_ms,
         Idempotence idempotence = Idempotence::Idempotent)
     {
         PartRequest part;
@@ -41,7 +45,13 @@
         part.classIndex = classIndex;
         part.remaining = remaining;
         part.idempotence = idempotence;
-        carrier.submit("n1", std::move(part), now);
+        return part;
+    }
+
+    void submit(AttemptId const& attempt, uint32_t classIndex = 1, Milliseconds remaining = 50_ms,
+        Idempotence idempotence = Idempotence::Idempotent)
+    {
+        carrier.submit("n1", makePart(attempt, classIndex, remaining, idempotence), now);
     }
     TargetAnswer makeAnswer(AttemptId const& attempt, int status = 200)
     {
@@ -331,22 +341,11 @@
 // Guards against work that a node which has just started sends to a target that is leaving.
 TEST(Carrier, NewCarrierWaitsForTheFirstStatus)
 {
-    Carrier fresh { { [this](TargetCall const& call) { calls.push_back(call); },
-                        [](AttemptId const&, std::string const&) {},
-                        [this](std::string const&, PartResult&& result) { results.push_back(std::move(result)); },
-                        [this](std::string const& target, std::string const&) { polls.push_back(target); },
-                        [] { return 0.5; }, {} },
-        "n1" };
+    Carrier fresh { hooks(), "n1" };
     fresh.setConfiguration(configuration.pointer(), now);
     fresh.advance(now);
     CHECK(std::ranges::find(polls, "a") != polls.end());
-    PartRequest part;
-    part.attempt = "p1";
-    part.service = "s";
-    part.target = "a";
-    part.snapshot = "s1";
-    part.remaining = 2000_ms;
-    fresh.submit("n1", PartRequest(part), now);
+    fresh.submit("n1", makePart("p1", 1, 2000_ms), now);
     LONGS_EQUAL(0, calls.size());
     fresh.onTargetStatus("a", TargetState::Draining, {}, now);
     LONGS_EQUAL(0, calls.size());
@@ -356,19 +355,9 @@
 // Guards against parts that wait until their deadline for a target whose status endpoint does not answer.
 TEST(Carrier, TheWaitForTheFirstStatusIsBounded)
 {
-    Carrier fresh { { [this](TargetCall const& call) { calls.push_back(call); },
-                        [](AttemptId const&, std::string const&) {},
-                        [this](std::string const&, PartResult&& result) { results.push_back(std::move(result)); },
-                        [](std::string const&, std::string const&) {}, [] { return 0.5; }, {} },
-        "n1" };
+    Carrier fresh { hooks(), "n1" };
     fresh.setConfiguration(configuration.pointer(), now);
-    PartRequest part;
-    part.attempt = "p1";
-    part.service = "s";
-    part.target = "a";
-    part.snapshot = "s1";
-    part.remaining = 2000_ms;
-    fresh.submit("n1", PartRequest(part), now);
+    fresh.submit("n1", makePart("p1", 1, 2000_ms), now);
     CHECK(fresh.nextWakeup() <= now + 500_ms);
     fresh.advance(now + 500_ms);
     LONGS_EQUAL(1, calls.size());
