--- a/Libraries/Platform/Base64.cpp
+++ b/Libraries/Base/Base64.cpp
@@ -1,4 +1,4 @@
-#include "Platform/Base64.h"
+#include "Base/Base64.h"
 
 #include "Base/Error.h"
 #include <Poco/Base64Decoder.h>
--- a/Libraries/Engine/LatencyHistogram.cpp
+++ b/Libraries/Base/LatencyHistogram.cpp
@@ -1,4 +1,4 @@
-#include "Engine/LatencyHistogram.h"
+#include "Base/LatencyHistogram.h"
 
 #include <algorithm>
 
--- a/Libraries/Bench/PlatformStandIn.cpp
+++ b/Libraries/Bench/PlatformStandIn.cpp
@@ -3,7 +3,7 @@
 #include "Base/Error.h"
 #include "Base/Json.h"
 #include "Bench/KeyValueStore.h"
-#include "Platform/Base64.h"
+#include "Base/Base64.h"
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPRequestHandler.h>
 #include <Poco/Net/HTTPRequestHandlerFactory.h>
--- a/Libraries/Engine/ServiceStatistics.h
+++ b/Libraries/Engine/ServiceStatistics.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Engine/LatencyHistogram.h"
+#include "Base/LatencyHistogram.h"
 #include "Engine/TokenBucket.h"
 
 namespace Toucan {
--- /dev/null
+++ b/Libraries/Gateway/AttemptOutcome.cpp
@@ -0,0 +1,86 @@
+#include "Gateway/AttemptOutcome.h"
+
+#include <Poco/NumberParser.h>
+#include <Poco/StringTokenizer.h>
+#include <array>
+
+namespace Toucan {
+
+using Poco::Net::HTTPResponse;
+
+std::string_view toString(AttemptOutcome outcome)
+{
+    switch (outcome) {
+    case AttemptOutcome::Success:
+        return "success";
+    case AttemptOutcome::TargetFailed:
+        return "target-failed";
+    case AttemptOutcome::NotRun:
+        return "not-run";
+    case AttemptOutcome::WrongTarget:
+        return "wrong-target";
+    case AttemptOutcome::NotSent:
+        return "not-sent";
+    case AttemptOutcome::Unknown:
+        break;
+    }
+    return "unknown";
+}
+
+AttemptOutcome outcomeOf(AttemptReply const& reply, GatewayHeaders const& names)
+{
+    switch (reply.transport) {
+    case AttemptReply::Transport::NotSent:
+        return AttemptOutcome::NotSent;
+    case AttemptReply::Transport::Broken:
+    case AttemptReply::Transport::TimedOut:
+        return AttemptOutcome::Unknown;
+    case AttemptReply::Transport::Answered:
+        break;
+    }
+    auto const status = reply.head.getStatus();
+    if (status == HTTPResponse::HTTP_MISDIRECTED_REQUEST)
+        return AttemptOutcome::WrongTarget;
+    if (reply.head.has(names.notRun))
+        return AttemptOutcome::NotRun;
+    if (!reply.head.has(names.signature) || reply.head.has("Content-Encoding"))
+        return AttemptOutcome::Unknown;
+    bool const success = static_cast<int>(status) >= 200 && static_cast<int>(status) < 300;
+    return success ? AttemptOutcome::Success : AttemptOutcome::TargetFailed;
+}
+
+bool answersRequest(HTTPResponse const& head, std::string_view requestId, GatewayHeaders const& names)
+{
+    return !head.has(names.requestId) || head.get(names.requestId) == requestId;
+}
+
+std::optional<ReportedLoad> readLoad(HTTPResponse const& head, GatewayHeaders const& names)
+{
+    if (!head.has(names.load))
+        return std::nullopt;
+    Poco::StringTokenizer const numbers(head.get(names.load), ",", Poco::StringTokenizer::TOK_TRIM);
+    std::array<unsigned, 3> values {};
+    if (numbers.count() < values.size())
+        return std::nullopt;
+    for (size_t index = 0; index < values.size(); ++index) {
+        if (!Poco::NumberParser::tryParseUnsigned(numbers[index], values[index]))
+            return std::nullopt;
+    }
+    return ReportedLoad { values[0], values[1], values[2] };
+}
+
+void removeConnectionFields(Poco::Net::HTTPMessage& head)
+{
+    Poco::StringTokenizer const named(head.get("Connection", ""), ",",
+        Poco::StringTokenizer::TOK_TRIM | Poco::StringTokenizer::TOK_IGNORE_EMPTY);
+    for (auto const& name : named) {
+        // A caller must not be able to remove the fields that identify its request.
+        if (Poco::icompare(name, "Host") != 0)
+            head.erase(name);
+    }
+    for (auto const* name : { "Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate",
+             "Proxy-Authorization", "TE", "Trailer", "Transfer-Encoding", "Upgrade", "Expect", "Content-Length" })
+        head.erase(name);
+}
+
+} // namespace Toucan
--- /dev/null
+++ b/Libraries/Gateway/Gateway.cpp
@@ -0,0 +1,113 @@
+#include "Gateway/Gateway.h"
+
+#include <Poco/NumberFormatter.h>
+
+namespace Toucan {
+
+using Poco::Net::HTTPResponse;
+
+/// Time in which a node usually gets its first configuration.
+constexpr Milliseconds startRetryAfter { 300 };
+/// Time in which a full node usually answers a good part of its requests.
+constexpr Milliseconds overloadRetryAfter { 100 };
+
+static GatewayContext createContext(Gateway::Options const& options, GatewayHooks hooks)
+{
+    DecisionLog log(hooks.log, hooks.now);
+    TargetSelector selector(hooks.random);
+    GatewayContext context { std::move(hooks), options.headers, std::move(log), {},
+        TargetDirectory(options.failureDomain, {}), std::move(selector), ExtraAttemptBudget(options.extraAttempts),
+        {} };
+    return context;
+}
+
+Gateway::Gateway(Options options, GatewayHooks hooks)
+    : options(std::move(options))
+    , context(createContext(this->options, std::move(hooks)))
+{
+    this->context.directory = TargetDirectory(this->options.failureDomain,
+        { [this](std::string_view event, TargetRegistration const& target) {
+            this->context.log.line(event,
+                { { "target", target.id }, { "service", target.service }, { "address", target.address },
+                    { "state", target.state == TargetRegistration::State::Draining ? "draining" : "serving" },
+                    { "incarnation", std::to_string(target.incarnation) } });
+        } });
+}
+
+void Gateway::install(RoutingConfiguration configuration)
+{
+    auto const version = configuration.version;
+    if (this->table && version <= this->table->version()) {
+        if (version < this->table->version())
+            this->context.log.line("configuration-refused",
+                { { "version", std::to_string(version) }, { "in_force", std::to_string(this->table->version()) },
+                    { "why", "older than the one in force" } });
+        return;
+    }
+    auto const before = this->version();
+    this->table = std::make_shared<RouteTable const>(std::move(configuration));
+    this->splitter.reset();
+    this->context.metrics.count("configurations");
+    this->context.log.line("configuration-in-force",
+        { { "version", std::to_string(version) }, { "before", std::to_string(before) },
+            { "routes", std::to_string(this->table->configuration().routes.size()) } },
+        DecisionLog::Weight::Always);
+}
+
+CallerLimits Gateway::callerLimits() const
+{
+    return this->table ? this->table->configuration().limits : CallerLimits {};
+}
+
+static std::string_view pathOf(std::string const& uri)
+{
+    return std::string_view(uri).substr(0, uri.find('?'));
+}
+
+std::shared_ptr<GatewayRequest> Gateway::handle(CallerRequest&& request, GatewayRequest::Answered answered)
+{
+    this->context.metrics.count("requests");
+    if (!this->table) {
+        this->refuse(request, HTTPResponse::HTTP_SERVICE_UNAVAILABLE, "no configuration yet; not run",
+            startRetryAfter, answered);
+        return nullptr;
+    }
+    auto const* const route = this->table->find(request.head.get("Host", ""), pathOf(request.head.getURI()));
+    if (!route) {
+        this->refuse(request, HTTPResponse::HTTP_NOT_FOUND, "no route for this host and path", {}, answered);
+        return nullptr;
+    }
+    if (this->context.running >= this->options.runningLimit) {
+        this->refuse(request, HTTPResponse::HTTP_SERVICE_UNAVAILABLE, "too many requests run; not run",
+            overloadRetryAfter, answered);
+        return nullptr;
+    }
+    auto services = route->shards;
+    if (!route->isScattered())
+        services.push_back(this->splitter.next(*route).service);
+    auto started = GatewayRequest::create(
+        this->context, this->table, *route, std::move(services), std::move(request), std::move(answered));
+    started->start();
+    return started;
+}
+
+void Gateway::refuse(CallerRequest const& request, HTTPResponse::HTTPStatus status, std::string_view reason,
+    Milliseconds retryAfter, GatewayRequest::Answered const& answered)
+{
+    CallerAnswer answer;
+    auto const& requestId = request.head.get(this->context.headers.requestId, "");
+    answer.head.setStatusAndReason(status);
+    answer.head.set(this->context.headers.requestId, requestId);
+    answer.head.setContentType("text/plain");
+    if (retryAfter > Milliseconds {})
+        answer.head.set(this->context.headers.retryAfter, Poco::NumberFormatter::format(retryAfter.value / 1000, 3));
+    answer.body = std::string(reason) + "\n";
+    this->context.metrics.count("answers_" + std::to_string(static_cast<int>(status)));
+    this->context.log.line("refused",
+        { { "request", requestId }, { "status", std::to_string(static_cast<int>(status)) },
+            { "configuration", std::to_string(this->version()) },
+            { "running", std::to_string(this->context.running) }, { "why", std::string(reason) } });
+    answered(std::move(answer));
+}
+
+} // namespace Toucan
--- /dev/null
+++ b/Libraries/Gateway/GatewayContext.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "Gateway/DecisionLog.h"
+#include "Gateway/ExtraAttemptBudget.h"
+#include "Gateway/GatewayMessages.h"
+#include "Gateway/GatewayMetrics.h"
+#include "Gateway/LatencyBook.h"
+#include "Gateway/TargetDirectory.h"
+#include "Gateway/TargetSelector.h"
+
+#include <functional>
+
+namespace Toucan {
+
+/// Effects of the gateway's decisions; the engine itself has no sockets, timers or threads.
+struct GatewayHooks {
+    /// Starts an attempt. `done` is called once, never from within the call, unless the attempt is cancelled.
+    std::function<Canceller(AttemptMessage&&, std::function<void(AttemptReply&&)> done)> send;
+    std::function<Canceller(Milliseconds at, std::function<void()>)> schedule;
+    std::function<Milliseconds()> now;
+    /// Closes kept connections to an address whose connections went silent.
+    std::function<void(std::string const& address)> closeIdle;
+    /// Numbers in [0, 1).
+    std::function<double()> random;
+    /// Writes one log line; must not block.
+    std::function<void(std::string const&)> log;
+};
+
+/// What the requests of one gateway share.
+struct GatewayContext {
+    GatewayHooks hooks;
+    GatewayHeaders headers;
+    DecisionLog log;
+    GatewayMetrics metrics;
+    TargetDirectory directory;
+    TargetSelector selector;
+    ExtraAttemptBudget budget;
+    LatencyBook latencies;
+    /// Requests that have not been answered.
+    size_t running { 0 };
+};
+
+} // namespace Toucan
--- /dev/null
+++ b/Libraries/Gateway/GatewayRequest.cpp
@@ -0,0 +1,497 @@
+#include "Gateway/GatewayRequest.h"
+
+#include "Gateway/RecordMerger.h"
+#include <Poco/NumberFormatter.h>
+#include <Poco/NumberParser.h>
+#include <algorithm>
+#include <cmath>
+
+namespace Toucan {
+
+using Poco::Net::HTTPResponse;
+
+/// The answer must reach the caller before its own timeout ends.
+constexpr Milliseconds answerMargin { 12 };
+/// Way to the caller and back, and the time to write the answer, within the objective.
+constexpr Milliseconds objectiveMargin { 9 };
+/// After the answer, slower attempts may end by themselves for this time: breaking them off would waste their
+/// connections and leave their results unobserved.
+constexpr Milliseconds loserTime { 350 };
+/// Attempts of one part that reached no target or were shed; bounds the work on a service without healthy targets.
+constexpr uint32_t mostSends = 5;
+constexpr Milliseconds shortestRetryAfter { 50 };
+constexpr Milliseconds longestRetryAfter { 1000 };
+
+size_t GatewayRequest::Part::runningAttempts() const
+{
+    return static_cast<size_t>(std::count_if(
+        this->attempts.begin(), this->attempts.end(), [](Attempt const& attempt) { return attempt.running; }));
+}
+
+std::shared_ptr<GatewayRequest> GatewayRequest::create(GatewayContext& context,
+    std::shared_ptr<RouteTable const> table, Route const& route, std::vector<std::string> services,
+    CallerRequest&& request, Answered answered)
+{
+    std::shared_ptr<GatewayRequest> created(
+        new GatewayRequest(context, std::move(table), route, std::move(request), std::move(answered)));
+    created->parts.resize(services.size());
+    for (size_t index = 0; index < services.size(); ++index)
+        created->parts[index].service = std::move(services[index]);
+    return created;
+}
+
+static Milliseconds callerTimeout(CallerRequest const& request, GatewayHeaders const& names, Milliseconds byDefault)
+{
+    double timeout = 0;
+    if (!Poco::NumberParser::tryParseFloat(request.head.get(names.deadline, ""), timeout) || timeout < 0)
+        return byDefault;
+    return std::min(Milliseconds { timeout }, byDefault);
+}
+
+GatewayRequest::GatewayRequest(GatewayContext& context, std::shared_ptr<RouteTable const> table, Route const& route,
+    CallerRequest&& request, Answered answered)
+    : context(context)
+    , table(std::move(table))
+    , route(route)
+    , request(std::move(request))
+    , requestId(this->request.head.get(context.headers.requestId, ""))
+    , answered(std::move(answered))
+    , receivedAt(context.hooks.now())
+{
+    auto const timeout = callerTimeout(this->request, context.headers, route.timeout);
+    this->deadline = this->receivedAt + std::max(timeout - answerMargin, timeout * 0.5);
+    auto const partial = this->receivedAt + std::max(route.objective - objectiveMargin, route.objective * 0.5);
+    this->partialAnswerAt = std::min(partial, this->deadline);
+    this->body = std::make_shared<std::string const>(std::move(this->request.body));
+    removeConnectionFields(this->request.head);
+    this->request.head.erase(context.headers.expectedTarget);
+    ++context.running;
+}
+
+void GatewayRequest::start()
+{
+    auto const self = this->shared_from_this();
+    for (auto const& part : this->parts)
+        this->context.budget.onRequest(part.service);
+    for (size_t index = 0; index < this->parts.size(); ++index) {
+        if (!this->send(index, AttemptReason::First))
+            this->failPart(index);
+    }
+    this->started = true;
+    this->answerIfDecided();
+}
+
+Poco::Net::HTTPRequest GatewayRequest::createHead(GatewayTarget const& target) const
+{
+    auto head = this->request.head;
+    auto const left = std::max(this->deadline - this->now(), Milliseconds { 1 });
+    head.set(this->context.headers.deadline, Poco::NumberFormatter::format(static_cast<int>(left.value)));
+    head.set(this->context.headers.expectedTarget, target.registration().id);
+    return head;
+}
+
+bool GatewayRequest::send(size_t partIndex, AttemptReason reason)
+{
+    auto& part = this->parts[partIndex];
+    auto const now = this->now();
+    auto const targets = this->context.directory.targets(part.service);
+    std::vector<TargetDirectory::TargetPointer> tried;
+    for (auto const& attempt : part.attempts)
+        tried.push_back(attempt.target);
+    auto const typical = this->context.latencies.typical(this->route, now);
+    auto const target = this->context.selector.choose(targets, tried, typical, now);
+    if (!target) {
+        part.retryAt = TargetSelector::nextAvailable(targets, now);
+        return false;
+    }
+    // Attempts that reached a target count at the service, whatever it made of them.
+    bool const reachedBefore = std::any_of(part.attempts.begin(), part.attempts.end(),
+        [](Attempt const& attempt) { return attempt.running; })
+        || part.exposures > 0;
+    if (reason != AttemptReason::First && reachedBefore) {
+        if (!this->context.budget.tryTake(part.service)) {
+            this->context.metrics.count("extra_attempts_denied");
+            this->context.log.line("extra-attempt-denied",
+                { { "request", this->requestId }, { "service", part.service }, { "why", "budget spent" } });
+            return false;
+        }
+        ++this->extraAttempts;
+        this->context.metrics.count(reason == AttemptReason::Hedge ? "hedges" : "retries");
+    }
+    AttemptMessage message;
+    message.address = target->registration().address;
+    message.connections = this->table->connectionLimit(part.service);
+    message.head = this->createHead(*target);
+    message.body = this->body;
+    // The request's own timer comes first, so that it decides between a partial answer and a timeout.
+    message.timeout = this->deadline - now + Milliseconds { 5 };
+    message.needsFreshConnection = this->route.repeatability == Repeatability::NonIdempotent;
+    message.isOwnResponse = [names = &this->context.headers, id = this->requestId](HTTPResponse const& head) {
+        return answersRequest(head, id, *names);
+    };
+    auto const attemptIndex = part.attempts.size();
+    target->onSent(now);
+    part.attempts.push_back({ target, now, {}, true });
+    ++part.exposures;
+    bool const idempotent = this->route.repeatability == Repeatability::Idempotent;
+    part.hedgeAt.reset();
+    if (idempotent && part.runs + part.runningAttempts() < this->route.maximumAttempts)
+        part.hedgeAt = now + this->context.latencies.hedgeDelay(this->route, now);
+    part.attempts[attemptIndex].cancel = this->context.hooks.send(std::move(message),
+        [self = this->shared_from_this(), partIndex, attemptIndex](
+            AttemptReply&& reply) { self->onReply(partIndex, attemptIndex, std::move(reply)); });
+    this->context.metrics.count("attempts");
+    return true;
+}
+
+void GatewayRequest::observe(Attempt const& attempt, AttemptOutcome outcome, AttemptReply const& reply)
+{
+    using Result = GatewayTarget::Result;
+    auto const now = this->now();
+    auto result = Result::Failed;
+    if (outcome == AttemptOutcome::Success)
+        result = Result::Answered;
+    else if (outcome == AttemptOutcome::NotSent)
+        result = Result::Unreachable;
+    else if (outcome == AttemptOutcome::NotRun)
+        result = Result::Shed;
+    attempt.target->onEnded(result, attempt.sentAt, this->context.latencies.typical(this->route, now), now);
+    if (outcome == AttemptOutcome::Success)
+        this->context.latencies.add(this->route, now - attempt.sentAt, now);
+    if (outcome == AttemptOutcome::WrongTarget)
+        attempt.target->onReplaced();
+    if (reply.transport == AttemptReply::Transport::Answered) {
+        if (auto const load = readLoad(reply.head, this->context.headers))
+            attempt.target->onLoad(*load, now);
+    }
+    if (outcome == AttemptOutcome::Success)
+        return;
+    this->context.metrics.count("attempt_" + std::string(toString(outcome)));
+    this->context.log.line("attempt-ended",
+        { { "request", this->requestId }, { "target", attempt.target->registration().id },
+            { "service", attempt.target->registration().service }, { "outcome", std::string(toString(outcome)) },
+            { "status", std::to_string(static_cast<int>(reply.head.getStatus())) },
+            { "after_ms", Poco::NumberFormatter::format((now - attempt.sentAt).value, 1) } });
+    if (reply.transport == AttemptReply::Transport::TimedOut)
+        this->context.hooks.closeIdle(attempt.target->registration().address);
+}
+
+void GatewayRequest::onReply(size_t partIndex, size_t attemptIndex, AttemptReply&& reply)
+{
+    auto& part = this->parts[partIndex];
+    auto& attempt = part.attempts[attemptIndex];
+    if (!attempt.running)
+        return;
+    attempt.running = false;
+    auto const outcome = outcomeOf(reply, this->context.headers);
+    this->observe(attempt, outcome, reply);
+    bool const mayHaveRun = outcome == AttemptOutcome::Success || outcome == AttemptOutcome::TargetFailed
+        || outcome == AttemptOutcome::Unknown;
+    if (mayHaveRun)
+        ++part.runs;
+    if (outcome == AttemptOutcome::NotSent)
+        --part.exposures;
+    if (this->finished || part.state != Part::State::Waiting)
+        return;
+    if (outcome == AttemptOutcome::Success)
+        this->onSuccess(partIndex, std::move(reply));
+    else
+        this->onFailure(partIndex, outcome, std::move(reply));
+    this->answerIfDecided();
+}
+
+void GatewayRequest::onSuccess(size_t partIndex, AttemptReply&& reply)
+{
+    auto& part = this->parts[partIndex];
+    part.state = Part::State::Merged;
+    part.hedgeAt.reset();
+    part.signature = reply.head.get(this->context.headers.signature);
+    part.body = std::move(reply.body);
+    if (!this->route.isScattered())
+        part.reply = std::move(reply);
+}
+
+bool GatewayRequest::mayRetry(Part const& part, AttemptOutcome outcome) const
+{
+    if (part.attempts.size() >= mostSends || this->now() >= this->deadline)
+        return false;
+    bool const ran = outcome == AttemptOutcome::TargetFailed || outcome == AttemptOutcome::Unknown;
+    if (!ran)
+        return true;
+    return this->route.repeatability == Repeatability::Idempotent && part.runs < this->route.maximumAttempts;
+}
+
+/// A target's judgement of the request itself, which another target would repeat.
+static bool isFinalRefusal(AttemptOutcome outcome, AttemptReply const& reply)
+{
+    auto const status = static_cast<int>(reply.head.getStatus());
+    return outcome == AttemptOutcome::TargetFailed && status >= 400 && status < 500;
+}
+
+void GatewayRequest::onFailure(size_t partIndex, AttemptOutcome outcome, AttemptReply&& reply)
+{
+    auto& part = this->parts[partIndex];
+    bool const refused = isFinalRefusal(outcome, reply);
+    if (outcome == AttemptOutcome::TargetFailed)
+        part.reply = std::move(reply);
+    if (refused) {
+        this->failPart(partIndex);
+        return;
+    }
+    // Another attempt is under way already.
+    if (part.runningAttempts() > 0)
+        return;
+    if (!this->mayRetry(part, outcome) || !this->send(partIndex, AttemptReason::Retry))
+        this->failPart(partIndex);
+}
+
+void GatewayRequest::failPart(size_t partIndex)
+{
+    auto& part = this->parts[partIndex];
+    part.state = Part::State::Missing;
+    part.hedgeAt.reset();
+}
+
+size_t GatewayRequest::mergedParts() const
+{
+    return static_cast<size_t>(std::count_if(this->parts.begin(), this->parts.end(),
+        [](Part const& part) { return part.state == Part::State::Merged; }));
+}
+
+bool GatewayRequest::isEnough(size_t count) const
+{
+    if (!this->route.isScattered())
+        return count > 0;
+    // The tolerance keeps 0.9 of 10 shards from becoming 10 by rounding.
+    auto const least = std::ceil(this->route.minimumCoverage * static_cast<double>(this->parts.size()) - 1e-9);
+    return count > 0 && static_cast<double>(count) >= least;
+}
+
+bool GatewayRequest::ranAnywhere() const
+{
+    return std::any_of(this->parts.begin(), this->parts.end(),
+        [](Part const& part) { return part.runs > 0 || part.runningAttempts() > 0; });
+}
+
+void GatewayRequest::answerIfDecided()
+{
+    if (this->finished || !this->started)
+        return;
+    auto const waiting = static_cast<size_t>(std::count_if(this->parts.begin(), this->parts.end(),
+        [](Part const& part) { return part.state == Part::State::Waiting; }));
+    auto const merged = this->mergedParts();
+    if (!this->isEnough(merged + waiting)) {
+        this->answerFailure();
+        return;
+    }
+    if (waiting == 0 || (this->now() >= this->partialAnswerAt && this->isEnough(merged))) {
+        this->answerMerged();
+        return;
+    }
+    this->setTimer();
+}
+
+std::optional<Milliseconds> GatewayRequest::nextHedge() const
+{
+    std::optional<Milliseconds> next;
+    for (auto const& part : this->parts) {
+        if (part.state == Part::State::Waiting && part.hedgeAt)
+            next = next ? std::min(*next, *part.hedgeAt) : *part.hedgeAt;
+    }
+    return next;
+}
+
+void GatewayRequest::setTimer()
+{
+    auto const now = this->now();
+    auto at = this->deadline;
+    if (this->route.isScattered() && now < this->partialAnswerAt)
+        at = std::min(at, this->partialAnswerAt);
+    if (auto const hedge = this->nextHedge())
+        at = std::min(at, *hedge);
+    if (this->timerAt && *this->timerAt <= at)
+        return;
+    if (this->cancelTimer)
+        this->cancelTimer();
+    this->timerAt = at;
+    this->cancelTimer
+        = this->context.hooks.schedule(at, [self = this->shared_from_this()] { self->onTimer(); });
+}
+
+void GatewayRequest::onTimer()
+{
+    this->timerAt.reset();
+    this->cancelTimer = {};
+    if (this->finished)
+        return;
+    if (this->now() >= this->deadline) {
+        if (this->isEnough(this->mergedParts()))
+            this->answerMerged();
+        else
+            this->answerTimeout();
+        return;
+    }
+    this->sendDueHedges();
+    this->answerIfDecided();
+}
+
+void GatewayRequest::sendDueHedges()
+{
+    auto const now = this->now();
+    for (size_t index = 0; index < this->parts.size(); ++index) {
+        auto& part = this->parts[index];
+        if (part.state != Part::State::Waiting || !part.hedgeAt || *part.hedgeAt > now)
+            continue;
+        part.hedgeAt.reset();
+        auto const waited = now - part.attempts.back().sentAt;
+        if (this->send(index, AttemptReason::Hedge))
+            this->context.log.line("hedge",
+                { { "request", this->requestId }, { "service", part.service },
+                    { "slow", part.attempts[part.attempts.size() - 2].target->registration().id },
+                    { "target", part.attempts.back().target->registration().id },
+                    { "waited_ms", Poco::NumberFormatter::format(waited.value, 1) } });
+    }
+}
+
+void GatewayRequest::answerMerged()
+{
+    CallerAnswer answer;
+    if (!this->route.isScattered()) {
+        auto& reply = *this->parts.front().reply;
+        removeConnectionFields(reply.head);
+        answer.head = reply.head;
+        answer.body = std::move(this->parts.front().body);
+        this->answer(std::move(answer), "relayed");
+        return;
+    }
+    std::string signatures;
+    std::vector<std::string_view> bodies;
+    for (auto const& part : this->parts) {
+        if (part.state != Part::State::Merged)
+            continue;
+        signatures += (signatures.empty() ? "" : ", ") + part.signature;
+        bodies.emplace_back(part.body);
+    }
+    auto const missing = this->parts.size() - bodies.size();
+    answer.head.setStatusAndReason(HTTPResponse::HTTP_OK);
+    answer.head.set(this->context.headers.requestId, this->requestId);
+    answer.head.set(this->context.headers.partSignatures, signatures);
+    answer.head.set(this->context.headers.missingParts, std::to_string(missing));
+    answer.body = mergeRecords(bodies, this->route.recordLimit);
+    if (missing)
+        this->context.metrics.count("partial_answers");
+    this->answer(std::move(answer), missing ? "partial" : "whole");
+}
+
+void GatewayRequest::answerFailure()
+{
+    // The failure of the only target is relayed, because it is the target's answer.
+    if (!this->route.isScattered() && this->parts.front().reply) {
+        auto& reply = *this->parts.front().reply;
+        removeConnectionFields(reply.head);
+        this->answer({ reply.head, std::move(reply.body) }, "target-failure");
+        return;
+    }
+    if (this->ranAnywhere())
+        this->answerProblem(HTTPResponse::HTTP_BAD_GATEWAY, "the targets failed; the outcome is unknown");
+    else
+        this->answerProblem(HTTPResponse::HTTP_SERVICE_UNAVAILABLE, "no target is available; not run");
+}
+
+void GatewayRequest::answerTimeout()
+{
+    this->answerProblem(HTTPResponse::HTTP_GATEWAY_TIMEOUT, "the time of the request has passed");
+}
+
+void GatewayRequest::answerProblem(HTTPResponse::HTTPStatus status, std::string_view reason)
+{
+    CallerAnswer answer;
+    answer.head.setStatusAndReason(status);
+    answer.head.set(this->context.headers.requestId, this->requestId);
+    answer.head.setContentType("text/plain");
+    if (status == HTTPResponse::HTTP_SERVICE_UNAVAILABLE) {
+        Milliseconds wait;
+        for (auto const& part : this->parts) {
+            if (part.state == Part::State::Missing)
+                wait = std::max(wait, part.retryAt - this->now());
+        }
+        wait = std::clamp(wait, shortestRetryAfter, longestRetryAfter);
+        answer.head.set(this->context.headers.retryAfter, Poco::NumberFormatter::format(wait.value / 1000, 3));
+    }
+    answer.body = std::string(reason) + "\n";
+    this->answer(std::move(answer), reason);
+}
+
+void GatewayRequest::answer(CallerAnswer&& answer, std::string_view result)
+{
+    this->finished = true;
+    --this->context.running;
+    auto const now = this->now();
+    auto const status = static_cast<int>(answer.head.getStatus());
+    this->context.metrics.observe(this->route.name, now - this->receivedAt, now);
+    this->context.metrics.count("answers_" + std::to_string(status));
+    bool const late = now - this->receivedAt > this->route.objective;
+    if (status >= 300 || late || result == "partial") {
+        std::string missing;
+        for (auto const& part : this->parts) {
+            if (part.state != Part::State::Merged)
+                missing += (missing.empty() ? "" : ",") + part.service;
+        }
+        this->context.log.line("answered",
+            { { "request", this->requestId }, { "route", this->route.name },
+                { "configuration", std::to_string(this->table->version()) },
+                { "status", std::to_string(status) }, { "result", std::string(result) },
+                { "after_ms", Poco::NumberFormatter::format((now - this->receivedAt).value, 1) },
+                { "late", late ? "yes" : "no" }, { "extra", std::to_string(this->extraAttempts) },
+                { "missing", missing } });
+    }
+    if (this->cancelTimer)
+        this->cancelTimer();
+    this->cancelTimer = {};
+    bool const loses = std::any_of(
+        this->parts.begin(), this->parts.end(), [](Part const& part) { return part.runningAttempts() > 0; });
+    if (loses)
+        this->context.hooks.schedule(
+            now + loserTime, [self = this->shared_from_this()] { self->cancelAttempts(); });
+    if (auto const callback = std::exchange(this->answered, nullptr))
+        callback(std::move(answer));
+}
+
+void GatewayRequest::cancelAttempts()
+{
+    if (this->route.repeatability == Repeatability::NonIdempotent)
+        return;
+    for (auto& part : this->parts) {
+        for (auto& attempt : part.attempts) {
+            if (!attempt.running)
+                continue;
+            attempt.running = false;
+            // An attempt that is still unanswered after the answer and the time for losers is a sign of trouble.
+            auto const result
+                = this->answered ? GatewayTarget::Result::Abandoned : GatewayTarget::Result::Failed;
+            attempt.target->onEnded(result, attempt.sentAt, std::nullopt, this->now());
+            if (attempt.cancel)
+                attempt.cancel();
+        }
+    }
+}
+
+void GatewayRequest::abandon()
+{
+    if (this->finished)
+        return;
+    auto const self = this->shared_from_this();
+    this->finished = true;
+    --this->context.running;
+    this->context.metrics.count("callers_gone");
+    this->context.log.line("caller-gone",
+        { { "request", this->requestId },
+            { "after_ms", Poco::NumberFormatter::format((this->now() - this->receivedAt).value, 1) } });
+    if (this->cancelTimer)
+        this->cancelTimer();
+    this->cancelTimer = {};
+    this->cancelAttempts();
+    this->answered = nullptr;
+}
+
+} // namespace Toucan
--- /dev/null
+++ b/Libraries/Gateway/GatewayTarget.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "Gateway/TargetRegistration.h"
+
+#include <optional>
+#include <vector>
+
+namespace Toucan {
+
+/// Load that a target reported with an answer.
+struct ReportedLoad {
+    uint32_t running { 0 };
+    uint32_t waiting { 0 };
+    uint32_t slots { 0 };
+};
+
+/// One target as this node sees it: its registration and what the node observed of it.
+class GatewayTarget {
+public:
+    /// How an attempt at the target ended, as far as the target's condition is concerned.
+    enum class Result {
+        Answered,
+        /// An answer that reports a failure, or a broken exchange.
+        Failed,
+        /// The target did not start the request.
+        Shed,
+        /// No connection could be made.
+        Unreachable,
+        /// The node gave the attempt up for a reason of its own.
+        Abandoned,
+    };
+
+    GatewayTarget(TargetRegistration registration, bool sameFailureDomain, Milliseconds now);
+
+    TargetRegistration const& registration() const { return this->entry; }
+    /// Takes a newer registration of the same incarnation.
+    void update(TargetRegistration registration, Milliseconds now);
+
+    /// Takes a registration that says the same.
+    void refresh(TargetRegistration registration) { this->entry = std::move(registration); }
+
+    void onSent(Milliseconds now);
+    /// `sentAt` is the time given to onSent(); `typical` the usual latency of such a request, when known.
+    void onEnded(Result result, Milliseconds sentAt, std::optional<Milliseconds> typical, Milliseconds now);
+    void onLoad(ReportedLoad load, Milliseconds now);
+    /// Another target answered at the address: no request is sent until the registration changes.
+    void onReplaced() { this->replaced = true; }
+
+    bool isDraining() const { return this->entry.state == TargetRegistration::State::Draining; }
+    Milliseconds drainingSince() const { return this->drainStart; }
+    bool isReplaced() const { return this->replaced; }
+    bool isBlocked(Milliseconds now) const { return this->blockedUntil > now; }
+    Milliseconds blockEnd() const { return this->blockedUntil; }
+    size_t running() const { return this->starts.size(); }
+    /// Expected latency of a request with the usual latency `typical`, with penalties for distance, failures, queues
+    /// and requests that have been unanswered for long. Lower is better.
+    Milliseconds expectedLatency(Milliseconds typical, Milliseconds now) const;
+    /// Ratio of observed to usual latency.
+    double slowness(Milliseconds now) const;
+    double failureShare(Milliseconds now) const;
+
+private:
+    void block(Milliseconds now);
+
+    TargetRegistration entry;
+    bool sameFailureDomain;
+    Milliseconds warmUntil;
+    Milliseconds drainStart;
+    bool replaced { false };
+    /// Times at which the running requests were sent, oldest first.
+    std::vector<Milliseconds> starts;
+    double slownessEstimate { 1 };
+    Milliseconds slownessAt;
+    double failureEstimate { 0 };
+    Milliseconds failureAt;
+    uint32_t unreachableInARow { 0 };
+    Milliseconds blockedUntil;
+    ReportedLoad load;
+    std::optional<Milliseconds> loadAt;
+};
+
+} // namespace Toucan
--- /dev/null
+++ b/Libraries/Gateway/LatencyBook.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "Base/LatencyHistogram.h"
+#include "Gateway/RoutingConfiguration.h"
+
+#include <map>
+#include <string>
+
+namespace Toucan {
+
+/// Usual latencies of the attempts of each route, from which the delay before a hedge is taken.
+class LatencyBook {
+public:
+    void add(Route const& route, Milliseconds latency, Milliseconds now);
+    /// Median of recent attempts, or a guess from the objective while there are too few.
+    Milliseconds typical(Route const& route, Milliseconds now) const;
+    /// Time after which an unanswered attempt is hedged.
+    Milliseconds hedgeDelay(Route const& route, Milliseconds now) const;
+
+private:
+    std::map<std::string, LatencyHistogram> byRoute;
+};
+
+} // namespace Toucan
--- /dev/null
+++ b/Libraries/Gateway/RecordMerger.cpp
@@ -0,0 +1,26 @@
+#include "Gateway/RecordMerger.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace Toucan {
+
+std::string mergeRecords(std::span<std::string_view const> parts, size_t limit)
+{
+    std::vector<std::string_view> records;
+    for (auto part : parts) {
+        for (; part.size() >= recordBytes; part.remove_prefix(recordBytes))
+            records.push_back(part.substr(0, recordBytes));
+    }
+    auto const count = std::min(limit, records.size());
+    // std::string_view compares as memcmp does.
+    std::partial_sort(records.begin(), records.begin() + static_cast<std::ptrdiff_t>(count), records.end(),
+        std::greater<>());
+    std::string merged;
+    merged.reserve(count * recordBytes);
+    for (size_t index = 0; index < count; ++index)
+        merged.append(records[index]);
+    return merged;
+}
+
+} // namespace Toucan
--- /dev/null
+++ b/Libraries/Gateway/TargetDirectory.cpp
@@ -0,0 +1,103 @@
+#include "Gateway/TargetDirectory.h"
+
+#include <algorithm>
+#include <set>
+
+namespace Toucan {
+
+TargetDirectory::TargetDirectory(std::string failureDomain, Hooks hooks)
+    : failureDomain(std::move(failureDomain))
+    , hooks(std::move(hooks))
+{
+}
+
+void TargetDirectory::put(TargetRegistration registration, Milliseconds now)
+{
+    this->deferred.erase(registration.id);
+    auto const found = this->targetsById.find(registration.id);
+    if (found != this->targetsById.end()) {
+        auto const& known = found->second->registration();
+        if (registration.isOlderThan(known)) {
+            this->hooks.changed("target-outdated-entry", registration);
+            return;
+        }
+        if (registration.saysSameAs(known)) {
+            found->second->refresh(std::move(registration));
+            return;
+        }
+        if (known.service == registration.service && known.incarnation == registration.incarnation) {
+            found->second->update(std::move(registration), now);
+            this->hooks.changed("target-changed", found->second->registration());
+            return;
+        }
+        // Observations of an earlier incarnation say nothing about this one.
+        this->erase(registration.id);
+    }
+    bool const sameDomain = registration.failureDomain == this->failureDomain;
+    auto const target = std::make_shared<GatewayTarget>(std::move(registration), sameDomain, now);
+    this->targetsById[target->registration().id] = target;
+    this->targetsByService[target->registration().service].push_back(target);
+    this->hooks.changed("target-added", target->registration());
+}
+
+void TargetDirectory::erase(std::string const& id)
+{
+    this->deferred.erase(id);
+    auto const found = this->targetsById.find(id);
+    if (found == this->targetsById.end())
+        return;
+    auto const target = found->second;
+    this->targetsById.erase(found);
+    std::erase(this->targetsByService[target->registration().service], target);
+    this->hooks.changed("target-removed", target->registration());
+}
+
+void TargetDirectory::remove(std::string const& id, Removal removal, Milliseconds keepUntil)
+{
+    if (removal == Removal::AtOnce)
+        this->erase(id);
+    else if (this->targetsById.contains(id))
+        this->deferred.emplace(id, keepUntil);
+}
+
+void TargetDirectory::replaceAll(
+    std::span<TargetRegistration const> registrations, Removal removal, Milliseconds keepUntil, Milliseconds now)
+{
+    std::set<std::string> present;
+    for (auto const& registration : registrations) {
+        present.insert(registration.id);
+        this->put(registration, now);
+    }
+    std::vector<std::string> missing;
+    for (auto const& [id, target] : this->targetsById) {
+        if (!present.contains(id))
+            missing.push_back(id);
+    }
+    for (auto const& id : missing)
+        this->remove(id, removal, keepUntil);
+}
+
+std::optional<Milliseconds> TargetDirectory::expire(Milliseconds now)
+{
+    std::optional<Milliseconds> next;
+    std::vector<std::string> due;
+    for (auto const& [id, at] : this->deferred) {
+        if (at <= now)
+            due.push_back(id);
+        else
+            next = next ? std::min(*next, at) : at;
+    }
+    for (auto const& id : due)
+        this->erase(id);
+    return next;
+}
+
+std::span<TargetDirectory::TargetPointer const> TargetDirectory::targets(std::string const& service) const
+{
+    auto const found = this->targetsByService.find(service);
+    if (found == this->targetsByService.end())
+        return {};
+    return found->second;
+}
+
+} // namespace Toucan
--- /dev/null
+++ b/Libraries/Gateway/TargetSelector.cpp
@@ -0,0 +1,57 @@
+#include "Gateway/TargetSelector.h"
+
+#include <algorithm>
+
+namespace Toucan {
+
+/// A draining target still serves while all nodes learn of it; it is the last resort for this time only.
+constexpr Milliseconds drainingLastResort { 1200 };
+/// Random share of the expected latency, so that equal targets share the load.
+constexpr double tieBreak = 0.1;
+
+TargetSelector::TargetSelector(std::function<double()> random)
+    : random(std::move(random))
+{
+}
+
+static bool isUsable(GatewayTarget const& target, Milliseconds now)
+{
+    return !target.isReplaced() && !target.isBlocked(now);
+}
+
+TargetSelector::TargetPointer TargetSelector::choose(std::span<TargetPointer const> targets,
+    std::span<TargetPointer const> excluded, Milliseconds typical, Milliseconds now) const
+{
+    TargetPointer best;
+    Milliseconds bestExpected;
+    TargetPointer lastResort;
+    for (auto const& target : targets) {
+        if (!isUsable(*target, now) || std::find(excluded.begin(), excluded.end(), target) != excluded.end())
+            continue;
+        if (target->isDraining()) {
+            if (now - target->drainingSince() < drainingLastResort)
+                lastResort = target;
+            continue;
+        }
+        auto const expected = target->expectedLatency(typical, now) * (1 + tieBreak * this->random());
+        if (!best || expected < bestExpected) {
+            best = target;
+            bestExpected = expected;
+        }
+    }
+    return best ? best : lastResort;
+}
+
+Milliseconds TargetSelector::nextAvailable(std::span<TargetPointer const> targets, Milliseconds now)
+{
+    std::optional<Milliseconds> earliest;
+    for (auto const& target : targets) {
+        if (target->isReplaced() || target->isDraining())
+            continue;
+        auto const at = std::max(target->blockEnd(), now);
+        earliest = earliest ? std::min(*earliest, at) : at;
+    }
+    return earliest.value_or(now);
+}
+
+} // namespace Toucan
--- /dev/null
+++ b/Libraries/GatewayNode/GatewayServer.cpp
@@ -0,0 +1,253 @@
+#include "GatewayNode/GatewayServer.h"
+
+#include "Base/Error.h"
+#include <Poco/Exception.h>
+#include <Poco/Net/SocketAddress.h>
+#include <algorithm>
+#include <glog/logging.h>
+
+namespace Toucan {
+
+using Poco::Net::HTTPResponse;
+
+/// A connection that takes longer is not worth waiting for: another target answers sooner.
+constexpr Milliseconds targetConnectTimeout { 250 };
+constexpr Milliseconds targetIdleTimeout { 20000 };
+/// Largest answer of a target that is buffered.
+constexpr size_t targetBodyBytes = 4194304;
+/// Most callers' connections; each costs a descriptor and some KB.
+constexpr size_t callerConnections = 2000;
+constexpr size_t adminConnections = 20;
+/// Period in which a stopping node looks whether it may end.
+constexpr Milliseconds stopPeriod { 50 };
+/// Time for the last answers to leave the process.
+constexpr Milliseconds finalOutputTime { 100 };
+
+GatewayServer::GatewayServer(GatewaySettings settings, Hooks hooks)
+    : settings(std::move(settings))
+    , hooks(std::move(hooks))
+    , randomEngine(std::random_device {}())
+    , gateway({ this->settings.failureDomain, this->hooks.headers, this->settings.extraAttempts },
+          this->createGatewayHooks())
+    , pool(this->loop,
+          { { 16384, targetBodyBytes }, targetIdleTimeout, targetConnectTimeout,
+              HttpMessageReader::UnframedBody::UntilClose,
+              [this] { this->gateway.shared().metrics.count("target_connections"); } })
+    , callers(this->loop, this->settings.callerListen, this->callerLimits(), this->createCallerHooks())
+    , readiness(this->loop, this->settings.readyListen, { {}, adminConnections },
+          { [this](HttpServerSession::Pointer const& session, HttpServerRequest&&) {
+               this->answerReadiness(session);
+           },
+              {}, {}, {} })
+    , registry(this->gateway, this->hooks.connectRegistry(this->loop, this->settings))
+{
+    if (!this->settings.metricsListen.empty())
+        this->metrics = std::make_unique<HttpServer>(this->loop, this->settings.metricsListen,
+            HttpServer::Limits { {}, adminConnections },
+            HttpServerSession::Hooks { [this](HttpServerSession::Pointer const& session, HttpServerRequest&& request) {
+                                          this->answerMetrics(session, request);
+                                      },
+                {}, {}, {} });
+    this->loop.setTurnHook([this] { this->onTurn(); });
+}
+
+GatewayServer::~GatewayServer() = default;
+
+GatewayHooks GatewayServer::createGatewayHooks()
+{
+    GatewayHooks gatewayHooks;
+    gatewayHooks.send = [this](AttemptMessage&& message, std::function<void(AttemptReply&&)> done) {
+        return this->sendAttempt(std::move(message), std::move(done));
+    };
+    gatewayHooks.schedule = [this](Milliseconds at, std::function<void()> task) -> Canceller {
+        return [this, timer = this->loop.schedule(at, std::move(task))] { this->loop.cancel(timer); };
+    };
+    gatewayHooks.now = [] { return Clock::now(); };
+    gatewayHooks.closeIdle = [this](std::string const& address) { this->pool.closeIdle(address); };
+    gatewayHooks.random
+        = [this] { return std::uniform_real_distribution<double>(0, 1)(this->randomEngine); };
+    gatewayHooks.log = [](std::string const& line) { LOG(INFO) << line; };
+    return gatewayHooks;
+}
+
+HttpServer::Limits GatewayServer::callerLimits() const
+{
+    auto const limits = this->gateway.callerLimits();
+    HttpServer::Limits result;
+    result.session.sizes = { limits.headerBytes, limits.bodyBytes };
+    result.session.requestTimeout = limits.requestTimeout;
+    result.session.idleTimeout = limits.idleTimeout;
+    result.connections = callerConnections;
+    return result;
+}
+
+HttpServerSession::Hooks GatewayServer::createCallerHooks()
+{
+    HttpServerSession::Hooks callerHooks;
+    callerHooks.request = [this](HttpServerSession::Pointer const& session, HttpServerRequest&& request) {
+        this->onCallerRequest(session, std::move(request));
+    };
+    callerHooks.gone = [this](HttpServerSession::Pointer const& session) { this->onCallerGone(session); };
+    return callerHooks;
+}
+
+uint32_t GatewayServer::connectionShare(uint32_t limit) const
+{
+    return std::max(1U, limit / this->settings.connectionSharers);
+}
+
+static AttemptReply::Transport transportOf(HttpTransport transport)
+{
+    switch (transport) {
+    case HttpTransport::Answered:
+        return AttemptReply::Transport::Answered;
+    case HttpTransport::ConnectFailed:
+    case HttpTransport::NoConnection:
+        return AttemptReply::Transport::NotSent;
+    case HttpTransport::TimedOut:
+        return AttemptReply::Transport::TimedOut;
+    case HttpTransport::Broken:
+        break;
+    }
+    return AttemptReply::Transport::Broken;
+}
+
+Canceller GatewayServer::sendAttempt(AttemptMessage&& message, std::function<void(AttemptReply&&)> done)
+{
+    HttpExchange exchange;
+    exchange.head = std::move(message.head);
+    exchange.body = std::move(message.body);
+    exchange.timeout = message.timeout;
+    exchange.connection = message.needsFreshConnection ? HttpExchange::Connection::Fresh : HttpExchange::Connection::Any;
+    exchange.isOwnResponse = std::move(message.isOwnResponse);
+    exchange.done = [done = std::move(done)](HttpClientResult&& result) {
+        done({ transportOf(result.transport), std::move(result.head), std::move(result.body) });
+    };
+    auto const handle
+        = this->pool.send(message.address, this->connectionShare(message.connections), std::move(exchange));
+    return [this, address = std::move(message.address), handle] { this->pool.cancel(address, handle); };
+}
+
+void GatewayServer::onCallerRequest(HttpServerSession::Pointer const& session, HttpServerRequest&& request)
+{
+    auto const running = this->gateway.handle(
+        { std::move(request.head), std::move(request.body) }, [this, session](CallerAnswer&& answer) {
+            this->requestsBySession.erase(session.get());
+            session->respond(answer.head, answer.body);
+        });
+    // The answer may have been given within the call.
+    if (running && session->isRunning())
+        this->requestsBySession[session.get()] = running;
+}
+
+void GatewayServer::onCallerGone(HttpServerSession::Pointer const& session)
+{
+    auto const found = this->requestsBySession.find(session.get());
+    if (found == this->requestsBySession.end())
+        return;
+    auto const request = found->second;
+    this->requestsBySession.erase(found);
+    request->abandon();
+}
+
+bool GatewayServer::isReady() const
+{
+    return !this->stopBegan && this->registry.isLoaded() && this->gateway.hasConfiguration();
+}
+
+void GatewayServer::answerReadiness(HttpServerSession::Pointer const& session)
+{
+    bool const ready = this->isReady();
+    HTTPResponse head(ready ? HTTPResponse::HTTP_OK : HTTPResponse::HTTP_SERVICE_UNAVAILABLE);
+    session->respond(head, "");
+}
+
+void GatewayServer::answerMetrics(HttpServerSession::Pointer const& session, HttpServerRequest const& request)
+{
+    bool const found = request.head.getURI() == "/metrics";
+    HTTPResponse head(found ? HTTPResponse::HTTP_OK : HTTPResponse::HTTP_NOT_FOUND);
+    head.setContentType("text/plain");
+    auto const& context = this->gateway.shared();
+    session->respond(head, found ? context.metrics.text(this->loop.now()) : "Ask for /metrics\n");
+}
+
+void GatewayServer::run()
+{
+    this->gateway.shared().log.line("start",
+        { { "node", this->settings.name }, { "failure_domain", this->settings.failureDomain },
+            { "callers", this->settings.callerListen }, { "registry", this->settings.registry } },
+        DecisionLog::Weight::Always);
+    this->registry.start();
+    this->loop.run();
+    this->gateway.shared().log.line(
+        "stopped", { { "running", std::to_string(this->gateway.running()) } }, DecisionLog::Weight::Always);
+}
+
+void GatewayServer::stop()
+{
+    this->stopRequested = true;
+    this->loop.wake();
+}
+
+void GatewayServer::reload()
+{
+    this->reloadRequested = true;
+    this->loop.wake();
+}
+
+void GatewayServer::onTurn()
+{
+    if (this->stopRequested && !this->stopBegan)
+        this->beginStop();
+    if (this->reloadRequested.exchange(false))
+        this->reloadSettings();
+    if (auto const limits = this->gateway.callerLimits(); limits != this->appliedLimits) {
+        this->appliedLimits = limits;
+        this->callers.setLimits(this->callerLimits());
+    }
+}
+
+void GatewayServer::beginStop()
+{
+    this->stopBegan = Clock::now();
+    this->gateway.shared().log.line(
+        "stop", { { "running", std::to_string(this->gateway.running()) } }, DecisionLog::Weight::Always);
+    this->callers.endKeepAlive();
+    this->continueStop();
+}
+
+void GatewayServer::continueStop()
+{
+    auto const now = Clock::now();
+    auto const elapsed = now - *this->stopBegan;
+    if (elapsed >= this->settings.balancerLag && !this->callersClosed) {
+        this->callersClosed = true;
+        this->callers.beginStop();
+    }
+    bool const idle = this->callersClosed && this->callers.connections() == 0 && this->gateway.running() == 0;
+    if (idle || elapsed >= this->settings.stopTime) {
+        this->loop.schedule(now + finalOutputTime, [this] { this->loop.stop(); });
+        return;
+    }
+    this->loop.schedule(now + stopPeriod, [this] { this->continueStop(); });
+}
+
+void GatewayServer::reloadSettings()
+{
+    try {
+        auto const next = this->hooks.readSettings();
+        bool const rebind
+            = next.callerListen != this->settings.callerListen || next.readyListen != this->settings.readyListen;
+        this->settings.stopTime = next.stopTime;
+        this->settings.balancerLag = next.balancerLag;
+        this->settings.connectionSharers = next.connectionSharers;
+        this->gateway.shared().log.line("reload",
+            { { "outcome", rebind ? "applied; listen addresses need a restart" : "applied" } },
+            DecisionLog::Weight::Always);
+    } catch (Error const& error) {
+        this->gateway.shared().log.line(
+            "reload", { { "outcome", "kept the old settings" }, { "why", error.what() } }, DecisionLog::Weight::Always);
+    }
+}
+
+} // namespace Toucan
--- /dev/null
+++ b/Libraries/GatewayNode/GatewayServer.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "Gateway/Gateway.h"
+#include "Gateway/RegistrySync.h"
+#include "GatewayNode/GatewaySettings.h"
+#include "Net/EventLoop.h"
+#include "Net/HttpClientPool.h"
+#include "Net/HttpServer.h"
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <random>
+#include <unordered_map>
+
+namespace Toucan {
+
+/// One gateway process: callers, targets, readiness and metrics on a single event loop, because a small VM runs one
+/// thread at a time. The registry is reached through the hooks of the adapter.
+class GatewayServer {
+public:
+    struct Hooks {
+        /// Makes the registry's hooks; the loop outlives them.
+        std::function<RegistrySync::Hooks(EventLoop&, GatewaySettings const&)> connectRegistry;
+        GatewayHeaders headers;
+        /// Reads the settings again after reload().
+        std::function<GatewaySettings()> readSettings;
+    };
+
+    /// Binds all listeners. Throws Error of kind InvalidSettings when one cannot be bound.
+    GatewayServer(GatewaySettings settings, Hooks hooks);
+    ~GatewayServer();
+    GatewayServer(GatewayServer const&) = delete;
+    GatewayServer& operator=(GatewayServer const&) = delete;
+
+    /// Serves until a planned stop has ended.
+    void run();
+    /// Begins a planned stop: not ready at once, then no new connections, then the end. May be called from a signal
+    /// handler.
+    void stop();
+    /// Reads the settings again. May be called from a signal handler.
+    void reload();
+
+    Gateway& gatewayEngine() { return this->gateway; }
+    Poco::Net::SocketAddress callerAddress() const { return this->callers.address(); }
+    Poco::Net::SocketAddress readyAddress() const { return this->readiness.address(); }
+
+private:
+    GatewayHooks createGatewayHooks();
+    HttpServerSession::Hooks createCallerHooks();
+    HttpServer::Limits callerLimits() const;
+    Canceller sendAttempt(AttemptMessage&& message, std::function<void(AttemptReply&&)> done);
+    /// Connections of this node to one target, so that all nodes together stay below the target's limit.
+    uint32_t connectionShare(uint32_t limit) const;
+    void onCallerRequest(HttpServerSession::Pointer const& session, HttpServerRequest&& request);
+    void onCallerGone(HttpServerSession::Pointer const& session);
+    void answerReadiness(HttpServerSession::Pointer const& session);
+    void answerMetrics(HttpServerSession::Pointer const& session, HttpServerRequest const& request);
+    bool isReady() const;
+    void onTurn();
+    void beginStop();
+    void continueStop();
+    void reloadSettings();
+
+    GatewaySettings settings;
+    Hooks hooks;
+    std::mt19937_64 randomEngine;
+    EventLoop loop;
+    Gateway gateway;
+    HttpClientPool pool;
+    CallerLimits appliedLimits;
+    HttpServer callers;
+    HttpServer readiness;
+    std::unique_ptr<HttpServer> metrics;
+    RegistrySync registry;
+    std::unordered_map<HttpServerSession*, std::shared_ptr<GatewayRequest>> requestsBySession;
+    std::atomic<bool> stopRequested { false };
+    std::atomic<bool> reloadRequested { false };
+    std::optional<Milliseconds> stopBegan;
+    bool callersClosed { false };
+};
+
+} // namespace Toucan
--- /dev/null
+++ b/Libraries/GatewayNode/GatewaySettings.cpp
@@ -0,0 +1,45 @@
+#include "GatewayNode/GatewaySettings.h"
+
+#include "Configuration/SettingsReader.h"
+#include "Configuration/SettingsText.h"
+#include "Configuration/SettingsValues.h"
+
+namespace Toucan {
+
+constexpr uint64_t longestStopMs = 600000;
+constexpr uint64_t mostSharers = 10000;
+
+GatewaySettings parseGatewaySettings(std::string const& file, std::string_view text)
+{
+    auto const document = SettingsText::create(file, text);
+    std::vector<SettingsFault> faults;
+    SettingsReader reader(document.root(), "", faults);
+    GatewaySettings settings;
+    settings.name = readName(reader, "name");
+    settings.failureDomain = readName(reader, "failureDomain");
+    settings.callerListen = readAddress(reader, "callerListen");
+    settings.readyListen = readAddress(reader, "readyListen");
+    if (reader.has("metricsListen"))
+        settings.metricsListen = readAddress(reader, "metricsListen");
+    settings.registry = readAddress(reader, "registry");
+    auto const milliseconds = [&reader](char const* key, Milliseconds byDefault) {
+        auto const value = reader.integer(key, static_cast<uint64_t>(byDefault.value), { 0, longestStopMs });
+        return Milliseconds { static_cast<double>(value) };
+    };
+    settings.stopTime = milliseconds("stopMs", settings.stopTime);
+    settings.balancerLag = milliseconds("balancerLagMs", settings.balancerLag);
+    settings.connectionSharers = static_cast<uint32_t>(
+        reader.integer("connectionSharers", settings.connectionSharers, { 1, mostSharers }));
+    settings.extraAttempts.ratio = reader.number("extraAttemptRatio", settings.extraAttempts.ratio, { 0, 1 });
+    settings.extraAttempts.savings = reader.number("extraAttemptSavings", settings.extraAttempts.savings, { 0, 1000 });
+    reader.refuseUnknownKeys();
+    document.refuse(std::move(faults));
+    return settings;
+}
+
+GatewaySettings readGatewaySettings(std::string const& file)
+{
+    return parseGatewaySettings(file, readSettingsFile(file));
+}
+
+} // namespace Toucan
--- /dev/null
+++ b/Libraries/GatewayNode/GatewaySettings.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "Gateway/Gateway.h"
+
+#include <string>
+#include <string_view>
+
+namespace Toucan {
+
+/// Settings of one gateway process. Addresses are IP address and port.
+struct GatewaySettings {
+    std::string name;
+    std::string failureDomain;
+    std::string callerListen;
+    std::string readyListen;
+    /// Empty for no metrics.
+    std::string metricsListen;
+    std::string registry;
+    /// Time from the stop signal to the exit at the latest.
+    Milliseconds stopTime { 5500 };
+    /// Time after which a balancer has taken a node that is not ready out of rotation.
+    Milliseconds balancerLag { 2600 };
+    /// Nodes that may share the connections of a target: the usual ones, and those that replace or join them.
+    uint32_t connectionSharers { 11 };
+    ExtraAttemptBudget::Limits extraAttempts;
+};
+
+/// Reads JSON with comments. Throws SettingsError with file, line, key and remedy.
+GatewaySettings parseGatewaySettings(std::string const& file, std::string_view text);
+GatewaySettings readGatewaySettings(std::string const& file);
+
+} // namespace Toucan
--- a/Libraries/Net/HttpClientPool.cpp
+++ b/Libraries/Net/HttpClientPool.cpp
@@ -4,14 +4,34 @@
 #include <Poco/Exception.h>
 #include <Poco/Net/SocketAddress.h>
 #include <algorithm>
+#include <charconv>
 #include <deque>
+#include <optional>
 #include <sstream>
 #include <vector>
 
 namespace Toucan {
 
+/// A request must not cross the server's close of an idle connection, so the connection ends this much earlier.
+constexpr Milliseconds idleCloseMargin { 500 };
+
 namespace {
 
+    /// The parameter "timeout" of a Keep-Alive header (RFC 2068, section 19.7.1.1).
+    std::optional<Milliseconds> keepAliveTimeout(Poco::Net::HTTPResponse const& head)
+    {
+        constexpr std::string_view parameter = "timeout=";
+        auto const& value = head.get("Keep-Alive", "");
+        auto const start = value.find(parameter);
+        if (start == std::string::npos)
+            return std::nullopt;
+        uint32_t seconds = 0;
+        auto const* const first = value.data() + start + parameter.size();
+        if (std::from_chars(first, value.data() + value.size(), seconds).ec != std::errc())
+            return std::nullopt;
+        return Milliseconds { seconds * 1000.0 };
+    }
+
     struct PendingExchange {
         HttpExchange exchange;
         EventLoop::Timer timer;
@@ -24,7 +44,8 @@
     std::string writeRequest(Poco::Net::HTTPRequest head, std::string const& endpoint, size_t bodySize)
     {
         head.setVersion(Poco::Net::HTTPMessage::HTTP_1_1);
-        head.setHost(endpoint);
+        if (!head.has(Poco::Net::HTTPRequest::HOST))
+            head.setHost(endpoint);
         head.set("Connection", "keep-alive");
         if (bodySize || head.getMethod() == Poco::Net::HTTPRequest::HTTP_POST)
             head.setContentLength(static_cast<std::streamsize>(bodySize));
@@ -44,11 +65,13 @@
             std::function<void(Pointer const&, HttpTransport)> failed;
         };
 
-        ClientConnection(EventLoop& loop, HttpSizeLimits sizes, Hooks hooks)
+        ClientConnection(
+            EventLoop& loop, HttpSizeLimits sizes, HttpMessageReader::UnframedBody unframedBody, Hooks hooks)
             : loop(loop)
             , sizes(sizes)
+            , unframedBody(unframedBody)
             , hooks(std::move(hooks))
-            , reader(HttpMessageReader::Kind::Response, sizes)
+            , reader(HttpMessageReader::Kind::Response, sizes, unframedBody)
         {
         }
 
@@ -57,14 +80,14 @@
             SocketChannel::Hooks channelHooks;
             auto const self = this->shared_from_this();
             channelHooks.received = [self] { self->onReceived(); };
-            channelHooks.ended = [self](SocketChannel::End) { self->fail(); };
+            channelHooks.ended = [self](SocketChannel::End end) { self->onEnded(end); };
             this->channel = SocketChannel::connect(this->loop, address, std::move(channelHooks));
         }
 
         void start(PendingPointer next, std::string const& endpoint)
         {
             this->pending = std::move(next);
-            this->reader = HttpMessageReader(HttpMessageReader::Kind::Response, this->sizes);
+            this->resetReader();
             this->sentBefore = this->channel->sent();
             auto const& exchange = this->pending->exchange;
             this->channel->write(writeRequest(exchange.head, endpoint, exchange.body ? exchange.body->size() : 0));
@@ -75,15 +98,42 @@
         /// Closes without a call of the hooks.
         void close() { this->channel->close(); }
 
+        bool isConnected() const { return this->channel->isConnected(); }
         PendingPointer const& current() const { return this->pending; }
         PendingPointer takeCurrent() { return std::exchange(this->pending, nullptr); }
         bool hasServed() const { return this->served; }
         bool hasSent() const { return this->channel->sent() > this->sentBefore; }
         bool hasReceived() const { return this->receivedAny; }
+        /// Time after which the server closes the connection, if it said so.
+        std::optional<Milliseconds> idleTimeout() const { return this->serverIdleTimeout; }
 
         EventLoop::Timer idleTimer;
+        EventLoop::Timer connectTimer;
 
     private:
+        void resetReader()
+        {
+            this->reader = HttpMessageReader(HttpMessageReader::Kind::Response, this->sizes, this->unframedBody);
+            if (this->pending->exchange.head.getMethod() == Poco::Net::HTTPRequest::HTTP_HEAD)
+                this->reader.expectNoBody();
+        }
+
+        bool skipsResponse()
+        {
+            auto const& isOwn = this->pending->exchange.isOwnResponse;
+            return this->isInformational() || (isOwn && !isOwn(this->reader.response()));
+        }
+
+        void onEnded(SocketChannel::End end)
+        {
+            bool const whole = end == SocketChannel::End::PeerClosed && this->pending && this->receivedAny
+                && this->reader.finishAtClose() && !this->skipsResponse();
+            if (whole)
+                this->finishExchange(false);
+            else
+                this->fail();
+        }
+
         void onReceived()
         {
             auto const self = this->shared_from_this();
@@ -94,8 +144,8 @@
                 return;
             }
             auto status = this->reader.read(this->channel->input());
-            while (status == HttpMessageReader::Status::Complete && this->isInformational()) {
-                this->reader = HttpMessageReader(HttpMessageReader::Kind::Response, this->sizes);
+            while (status == HttpMessageReader::Status::Complete && this->skipsResponse()) {
+                this->resetReader();
                 status = this->reader.read(this->channel->input());
             }
             if (status == HttpMessageReader::Status::NeedMore)
@@ -104,18 +154,18 @@
                 this->fail();
                 return;
             }
-            this->finishExchange();
+            // A response that comes before the whole request was sent leaves the connection in an unknown state.
+            this->finishExchange(this->reader.response().getKeepAlive() && this->channel->input().empty()
+                && !this->channel->unsent());
         }
 
         bool isInformational() { return static_cast<int>(this->reader.response().getStatus()) < 200; }
 
-        void finishExchange()
+        void finishExchange(bool reusable)
         {
-            // A response that comes before the whole request was sent leaves the connection in an unknown state.
-            bool const reusable
-                = this->reader.response().getKeepAlive() && this->channel->input().empty() && !this->channel->unsent();
             this->served = true;
             this->receivedAny = false;
+            this->serverIdleTimeout = keepAliveTimeout(this->reader.response());
             HttpClientResult result { HttpTransport::Answered, this->reader.response(),
                 std::move(this->reader.body()) };
             this->hooks.answered(this->shared_from_this(), std::move(result), reusable);
@@ -130,6 +180,8 @@
 
         EventLoop& loop;
         HttpSizeLimits sizes;
+        HttpMessageReader::UnframedBody unframedBody;
+        std::optional<Milliseconds> serverIdleTimeout;
         Hooks hooks;
         std::shared_ptr<SocketChannel> channel;
         HttpMessageReader reader;
@@ -151,7 +203,7 @@
     {
     }
 
-    void send(uint32_t connectionLimit, HttpExchange&& exchange)
+    HttpExchangeHandle send(uint32_t connectionLimit, HttpExchange&& exchange)
     {
         this->connectionLimit = connectionLimit;
         auto const pending = std::make_shared<PendingExchange>(PendingExchange { std::move(exchange), {} });
@@ -159,12 +211,40 @@
         pending->timer = this->loop.schedule(
             Clock::now() + timeout, [self = this->shared_from_this(), pending] { self->onTimeout(pending); });
         if (this->startOnIdle(pending) || this->startOnNew(pending))
-            return;
+            return pending;
         bool const drop = pending->exchange.whenBusy == HttpExchange::WhenBusy::Drop;
         if (drop || this->waiting.size() >= this->limits.waiting)
             this->finishLater(pending, HttpTransport::NoConnection);
         else
             this->waiting.push_back(pending);
+        return pending;
+    }
+
+    void cancel(HttpExchangeHandle const& handle)
+    {
+        auto const target = handle.lock();
+        if (!target)
+            return;
+        auto const pending = std::static_pointer_cast<PendingExchange>(target);
+        this->loop.cancel(pending->timer);
+        if (auto const connection = this->connectionOf(pending)) {
+            connection->takeCurrent();
+            this->remove(connection);
+            this->startWaiting();
+        } else {
+            std::erase(this->waiting, pending);
+        }
+    }
+
+    void closeIdle()
+    {
+        while (!this->idle.empty())
+            this->remove(Pointer(this->idle.front()));
+    }
+
+    size_t runningExchanges() const
+    {
+        return this->connections.size() - this->idle.size() + this->waiting.size();
     }
 
     void limit(uint32_t connectionLimit)
@@ -186,6 +266,7 @@
     {
         for (auto const& connection : std::exchange(this->connections, {})) {
             this->loop.cancel(connection->idleTimer);
+            this->loop.cancel(connection->connectTimer);
             if (auto const pending = connection->takeCurrent())
                 this->loop.cancel(pending->timer);
             connection->close();
@@ -200,7 +281,7 @@
 
     bool startOnIdle(PendingPointer const& pending)
     {
-        if (this->idle.empty())
+        if (this->idle.empty() || pending->exchange.connection == HttpExchange::Connection::Fresh)
             return false;
         // The last one used is the least likely to have been closed by the peer.
         auto const connection = this->idle.back();
@@ -212,6 +293,8 @@
 
     bool startOnNew(PendingPointer const& pending)
     {
+        if (this->connections.size() >= this->connectionLimit && !this->idle.empty())
+            this->remove(Pointer(this->idle.front()));
         if (this->connections.size() >= this->connectionLimit)
             return false;
         ClientConnection::Hooks hooks;
@@ -221,14 +304,19 @@
         };
         hooks.failed
             = [this](Pointer const& connection, HttpTransport transport) { this->onFailed(connection, transport); };
-        auto const connection = std::make_shared<ClientConnection>(this->loop, this->limits.sizes, std::move(hooks));
+        auto const connection = std::make_shared<ClientConnection>(
+            this->loop, this->limits.sizes, this->limits.unframedBody, std::move(hooks));
         try {
             connection->connect(Poco::Net::SocketAddress(this->name));
         } catch (Poco::Exception const&) {
             this->finishLater(pending, HttpTransport::ConnectFailed);
             return true;
         }
+        if (this->limits.connecting)
+            this->limits.connecting();
         this->connections.push_back(connection);
+        connection->connectTimer = this->loop.schedule(Clock::now() + this->limits.connectTimeout,
+            [self = this->shared_from_this(), connection] { self->onConnectTimeout(connection); });
         connection->start(pending, this->name);
         return true;
     }
@@ -278,14 +366,12 @@
     void onTimeout(PendingPointer const& pending)
     {
         auto const self = this->shared_from_this();
-        auto const found = std::find_if(this->connections.begin(), this->connections.end(),
-            [&pending](Pointer const& connection) { return connection->current() == pending; });
-        if (found == this->connections.end()) {
+        auto const connection = this->connectionOf(pending);
+        if (!connection) {
             std::erase(this->waiting, pending);
             this->finish(pending, { timeoutOf(*pending), {}, {} });
             return;
         }
-        auto const connection = *found;
         connection->takeCurrent();
         pending->sent = pending->sent || connection->hasSent();
         this->remove(connection);
@@ -293,16 +379,36 @@
         this->startWaiting();
     }
 
+    Pointer connectionOf(PendingPointer const& pending) const
+    {
+        auto const found = std::find_if(this->connections.begin(), this->connections.end(),
+            [&pending](Pointer const& connection) { return connection->current() == pending; });
+        return found == this->connections.end() ? nullptr : *found;
+    }
+
+    void onConnectTimeout(Pointer const& connection)
+    {
+        if (connection->isConnected())
+            return;
+        auto const self = this->shared_from_this();
+        connection->close();
+        this->onFailed(connection, HttpTransport::ConnectFailed);
+    }
+
     void keep(Pointer const& connection)
     {
         this->idle.push_back(connection);
-        connection->idleTimer = this->loop.schedule(Clock::now() + this->limits.idleTimeout,
+        auto timeout = this->limits.idleTimeout;
+        if (auto const server = connection->idleTimeout())
+            timeout = std::min(timeout, std::max(*server - idleCloseMargin, Milliseconds {}));
+        connection->idleTimer = this->loop.schedule(Clock::now() + timeout,
             [self = this->shared_from_this(), connection] { self->remove(connection); });
     }
 
     void remove(Pointer const& connection)
     {
         this->loop.cancel(connection->idleTimer);
+        this->loop.cancel(connection->connectTimer);
         connection->close();
         std::erase(this->idle, connection);
         std::erase(this->connections, connection);
@@ -352,12 +458,30 @@
         endpoint->closeAll();
 }
 
-void HttpClientPool::send(std::string const& endpoint, uint32_t connections, HttpExchange&& exchange)
+HttpExchangeHandle HttpClientPool::send(std::string const& endpoint, uint32_t connections, HttpExchange&& exchange)
 {
     auto& found = this->endpoints[endpoint];
     if (!found)
         found = std::make_shared<Endpoint>(this->loop, this->limits, endpoint);
-    found->send(connections, std::move(exchange));
+    return found->send(connections, std::move(exchange));
+}
+
+void HttpClientPool::cancel(std::string const& endpoint, HttpExchangeHandle const& handle)
+{
+    if (auto const found = this->endpoints.find(endpoint); found != this->endpoints.end())
+        found->second->cancel(handle);
+}
+
+void HttpClientPool::closeIdle(std::string const& endpoint)
+{
+    if (auto const found = this->endpoints.find(endpoint); found != this->endpoints.end())
+        found->second->closeIdle();
+}
+
+size_t HttpClientPool::runningExchanges(std::string const& endpoint) const
+{
+    auto const found = this->endpoints.find(endpoint);
+    return found == this->endpoints.end() ? 0 : found->second->runningExchanges();
 }
 
 void HttpClientPool::limit(std::string const& endpoint, uint32_t connections)
--- a/Libraries/Net/HttpClientPool.h
+++ b/Libraries/Net/HttpClientPool.h
@@ -36,7 +36,7 @@
 };
 
 struct HttpExchange {
-    /// The pool sets Host, Content-Length and Connection.
+    /// The pool sets Content-Length and Connection, and Host when there is none.
     Poco::Net::HTTPRequest head;
     /// May be null.
     std::shared_ptr<std::string const> body;
@@ -45,6 +45,11 @@
         Allowed,
         Forbidden,
     } repeat { Repeat::Forbidden };
+    enum class Connection {
+        Any,
+        /// A new connection: the server may close a kept one while the request is on its way.
+        Fresh,
+    } connection { Connection::Any };
     enum class WhenBusy {
         Wait,
         /// Ends with NoConnection when no connection is free.
@@ -52,17 +57,29 @@
     } whenBusy { WhenBusy::Wait };
     /// Time for the whole exchange, with the wait for a connection.
     Milliseconds timeout;
+    /// Whether a response answers this exchange; others are dropped and the next one is awaited. Every response does
+    /// when not set.
+    std::function<bool(Poco::Net::HTTPResponse const&)> isOwnResponse;
     /// Called once, never from within send().
     std::function<void(HttpClientResult&&)> done;
 };
 
+/// Names a running exchange; empty after its end.
+using HttpExchangeHandle = std::weak_ptr<void>;
+
 /// HTTP/1.1 client connections, kept and reused, with a bound for each endpoint. Each connection carries one exchange
 /// at a time and is closed after a timeout, so that a late response never meets another exchange.
 class HttpClientPool {
 public:
     struct Limits {
         HttpSizeLimits sizes { 16384, 4194304 };
+        /// Kept connections are closed earlier when the server's Keep-Alive header says so.
         Milliseconds idleTimeout { 30000 };
+        /// Time to establish a connection; the exchange's timeout bounds it too.
+        Milliseconds connectTimeout { 30000 };
+        HttpMessageReader::UnframedBody unframedBody { HttpMessageReader::UnframedBody::Refused };
+        /// Called for each connection that is opened.
+        std::function<void()> connecting;
         /// Exchanges that may wait for a connection to one endpoint.
         size_t waiting { 1024 };
     };
@@ -73,7 +90,13 @@
     HttpClientPool& operator=(HttpClientPool const&) = delete;
 
     /// `endpoint` as in "127.0.0.1:9001"; at most `connections` are open to it at once.
-    void send(std::string const& endpoint, uint32_t connections, HttpExchange&& exchange);
+    HttpExchangeHandle send(std::string const& endpoint, uint32_t connections, HttpExchange&& exchange);
+    /// Ends the exchange without a call of `done` and closes its connection, so that the server stops its work.
+    void cancel(std::string const& endpoint, HttpExchangeHandle const& handle);
+    /// Closes all kept connections that are idle, for example after one of them went silent.
+    void closeIdle(std::string const& endpoint);
+    /// Exchanges that run or wait.
+    size_t runningExchanges(std::string const& endpoint) const;
     /// Changes the bound at once: idle connections above it are closed, busy ones after their exchange. With 0,
     /// exchanges that wait end with NoConnection.
     void limit(std::string const& endpoint, uint32_t connections);
--- a/Libraries/Net/HttpMessageReader.cpp
+++ b/Libraries/Net/HttpMessageReader.cpp
@@ -72,9 +72,10 @@
     return value;
 }
 
-HttpMessageReader::HttpMessageReader(Kind kind, HttpSizeLimits limits)
+HttpMessageReader::HttpMessageReader(Kind kind, HttpSizeLimits limits, UnframedBody unframedBody)
     : kind(kind)
     , limits(limits)
+    , unframedBody(unframedBody)
 {
 }
 
@@ -123,6 +124,8 @@
         return this->readChunkEnd(input);
     case Stage::Trailer:
         return this->readTrailer(input);
+    case Stage::BodyUntilClose:
+        return this->takeBodyUntilClose(input);
     case Stage::Done:
         break;
     }
@@ -192,13 +195,16 @@
     }
     if (this->kind == Kind::Response) {
         auto const code = static_cast<int>(this->responseHead.getStatus());
-        if (code == 204 || code == 304) {
+        if (code < 200 || code == 204 || code == 304 || this->noBody) {
             this->stage = Stage::Done;
             return Status::Complete;
         }
-        // Without a length the end of the body cannot be told from a cut connection.
-        if (!lengths)
-            return Status::Malformed;
+        if (!lengths) {
+            if (this->unframedBody == UnframedBody::Refused)
+                return Status::Malformed;
+            this->stage = Stage::BodyUntilClose;
+            return Status::Complete;
+        }
     }
     if (!lengths) {
         this->stage = Stage::Done;
@@ -226,6 +232,22 @@
     return Status::Complete;
 }
 
+HttpMessageReader::Status HttpMessageReader::takeBodyUntilClose(std::string_view& input)
+{
+    if (input.size() > this->limits.bodyBytes - this->bodyText.size())
+        return Status::BodyTooLarge;
+    this->bodyText.append(input);
+    input.remove_prefix(input.size());
+    return Status::NeedMore;
+}
+
+bool HttpMessageReader::finishAtClose()
+{
+    if (this->stage == Stage::BodyUntilClose)
+        this->stage = Stage::Done;
+    return this->stage == Stage::Done;
+}
+
 HttpMessageReader::Status HttpMessageReader::readChunkSize(std::string_view& input)
 {
     auto const end = input.find(lineEnd);
--- a/Libraries/Net/HttpMessageReader.h
+++ b/Libraries/Net/HttpMessageReader.h
@@ -34,10 +34,21 @@
         UnsupportedVersion,
     };
 
-    HttpMessageReader(Kind kind, HttpSizeLimits limits);
+    /// How the end of a response without Content-Length and chunks is found.
+    enum class UnframedBody {
+        Refused,
+        /// The body ends with the connection (RFC 9112, section 6.3, item 8).
+        UntilClose,
+    };
+
+    HttpMessageReader(Kind kind, HttpSizeLimits limits, UnframedBody unframedBody = UnframedBody::Refused);
 
     /// Removes what it uses from the front of `input`. After Complete the rest of `input` belongs to the next message.
     Status read(std::string& input);
+    /// The response answers a HEAD request, so that it has no body whatever its fields say.
+    void expectNoBody() { this->noBody = true; }
+    /// The peer closed its side in an orderly way. Returns whether the message is whole now.
+    bool finishAtClose();
     /// Whether the header was read and the body is still expected.
     bool expectsBody() const { return this->stage != Stage::Header && this->stage != Stage::Done; }
 
@@ -53,6 +64,7 @@
         ChunkData,
         ChunkEnd,
         Trailer,
+        BodyUntilClose,
         Done,
     };
 
@@ -62,6 +74,7 @@
     Status startBody();
     Status readStage(std::string_view& input);
     Status takeBody(std::string_view& input, Stage next);
+    Status takeBodyUntilClose(std::string_view& input);
     Status readChunkSize(std::string_view& input);
     Status readChunkEnd(std::string_view& input);
     Status readTrailer(std::string_view& input);
@@ -69,6 +82,8 @@
 
     Kind kind;
     HttpSizeLimits limits;
+    UnframedBody unframedBody;
+    bool noBody { false };
     Stage stage { Stage::Header };
     /// Body or chunk bytes that are still to come.
     uint64_t remaining { 0 };
--- a/Libraries/Net/HttpServer.h
+++ b/Libraries/Net/HttpServer.h
@@ -26,6 +26,8 @@
 
     Poco::Net::SocketAddress address() const { return this->listener.address(); }
     size_t connections() const { return this->sessions.size(); }
+    /// Applies to connections that are accepted from now on.
+    void setLimits(Limits const& limits) { this->limits = limits; }
     /// Each connection is closed after its next answer, so that peers move elsewhere before beginStop().
     void endKeepAlive();
     /// Accepts no more connections, closes idle ones, and the others after their running request.
--- a/Libraries/Node/NodeSettings.cpp
+++ b/Libraries/Node/NodeSettings.cpp
@@ -2,56 +2,14 @@
 
 #include "Configuration/SettingsReader.h"
 #include "Configuration/SettingsText.h"
-#include <Poco/Exception.h>
-#include <Poco/Net/IPAddress.h>
+#include "Configuration/SettingsValues.h"
 #include <algorithm>
-#include <charconv>
-#include <fstream>
 #include <set>
-#include <sstream>
 
 namespace Toucan {
 
 /// Ten minutes; a longer stop is an error of the operator.
 constexpr uint64_t longestStopMs = 600000;
-constexpr uint32_t mostPorts = 65535;
-
-static bool isAddress(std::string const& text)
-{
-    auto const colon = text.rfind(':');
-    if (colon == std::string::npos)
-        return false;
-    auto host = text.substr(0, colon);
-    if (host.starts_with('[') && host.ends_with(']'))
-        host = host.substr(1, host.size() - 2);
-    uint32_t port = 0;
-    auto const* const end = text.data() + text.size();
-    auto const [parsed, error] = std::from_chars(text.data() + colon + 1, end, port);
-    Poco::Net::IPAddress address;
-    return error == std::errc() && parsed == end && port > 0 && port <= mostPorts
-        && Poco::Net::IPAddress::tryParse(host, address);
-}
-
-static std::string readAddress(SettingsReader& reader, std::string const& key)
-{
-    auto text = reader.requiredText(key);
-    if (!text.empty() && !isAddress(text))
-        reader.report(key, "\"" + text + "\" is not an IP address with a port",
-            "Write an address such as \"127.0.0.1:8101\"; host names are not resolved");
-    return text;
-}
-
-static std::string readName(SettingsReader& reader, std::string const& key)
-{
-    auto text = reader.requiredText(key);
-    bool const valid = std::all_of(text.begin(), text.end(), [](char character) {
-        return (character >= 'a' && character <= 'z') || (character >= 'A' && character <= 'Z')
-            || (character >= '0' && character <= '9') || character == '-' || character == '_' || character == '.';
-    });
-    if (!valid)
-        reader.report(key, "\"" + text + "\" is not a valid name", "Use letters, digits, '-', '_' and '.'");
-    return text;
-}
 
 static std::vector<Peer> readPeers(SettingsReader& reader, std::vector<SettingsFault>& faults)
 {
@@ -120,15 +78,6 @@
     return options;
 }
 
-NodeOptions readNodeSettings(std::string const& file)
-{
-    std::ifstream stream(file, std::ios::binary);
-    if (!stream)
-        throw SettingsError(ErrorKind::InvalidSettings,
-            { { file, 0, "", "The file cannot be read", "Check the path given with --settings and its permissions" } });
-    std::ostringstream text;
-    text << stream.rdbuf();
-    return parseNodeSettings(file, text.str());
-}
+NodeOptions readNodeSettings(std::string const& file) { return parseNodeSettings(file, readSettingsFile(file)); }
 
 } // namespace Toucan
--- a/Libraries/Platform/StoreClient.cpp
+++ b/Libraries/Platform/StoreClient.cpp
@@ -2,7 +2,7 @@
 
 #include "Base/Error.h"
 #include "Base/Json.h"
-#include "Platform/Base64.h"
+#include "Base/Base64.h"
 #include "Platform/HttpExchange.h"
 #include <Poco/Exception.h>
 #include <Poco/Net/StreamSocket.h>
--- a/Tests/Engine/TestCoordinatorMechanisms.cpp
+++ b/Tests/Engine/TestCoordinatorMechanisms.cpp
@@ -1,7 +1,7 @@
 #include "CoordinatorFixture.h"
 #include "Engine/CoordinatorState.h"
 
-#include "Engine/LatencyHistogram.h"
+#include "Base/LatencyHistogram.h"
 #include "Engine/TargetEvidence.h"
 #include "Engine/TokenBucket.h"
 
