--- /dev/null
+++ b/Tests/Gateway/GatewayFixture.h
@@ -0,0 +1,179 @@
+#pragma once
+
+#include "Gateway/Gateway.h"
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace Toucan {
+
+/// A gateway with a clock, timers and targets that the test plays.
+struct GatewayFixture {
+    struct Sent {
+        AttemptMessage message;
+        std::function<void(AttemptReply&&)> done;
+        bool cancelled { false };
+    };
+    struct Timer {
+        Milliseconds at;
+        std::function<void()> task;
+        bool cancelled { false };
+    };
+
+    Milliseconds time { 1000 };
+    std::vector<std::shared_ptr<Sent>> sent;
+    std::vector<std::shared_ptr<Timer>> timers;
+    std::vector<std::string> lines;
+    std::vector<CallerAnswer> answers;
+    Gateway gateway;
+
+    explicit GatewayFixture(ExtraAttemptBudget::Limits budget = { 1, 5 })
+        : gateway({ "wien-a", {}, budget, 100 }, this->hooks())
+    {
+    }
+
+    GatewayHooks hooks()
+    {
+        GatewayHooks result;
+        result.send = [this](AttemptMessage&& message, std::function<void(AttemptReply&&)> done) -> Canceller {
+            auto const entry = std::make_shared<Sent>(Sent { std::move(message), std::move(done) });
+            this->sent.push_back(entry);
+            return [entry] { entry->cancelled = true; };
+        };
+        result.schedule = [this](Milliseconds at, std::function<void()> task) -> Canceller {
+            auto const timer = std::make_shared<Timer>(Timer { at, std::move(task) });
+            this->timers.push_back(timer);
+            return [timer] { timer->cancelled = true; };
+        };
+        result.now = [this] { return this->time; };
+        result.closeIdle = [](std::string const&) {};
+        result.random = [] { return 0.0; };
+        result.log = [this](std::string const& line) { this->lines.push_back(line); };
+        return result;
+    }
+
+    /// Lets the time pass and runs what comes due, in order.
+    void advance(Milliseconds duration)
+    {
+        auto const end = this->time + duration;
+        while (true) {
+            std::shared_ptr<Timer> next;
+            for (auto const& timer : this->timers) {
+                if (!timer->cancelled && timer->at <= end && (!next || timer->at < next->at))
+                    next = timer;
+            }
+            if (!next)
+                break;
+            next->cancelled = true;
+            this->time = std::max(this->time, next->at);
+            next->task();
+        }
+        this->time = end;
+    }
+
+    void addTarget(std::string const& id, std::string const& service, std::string const& domain = "wien-a")
+    {
+        TargetRegistration registration;
+        registration.id = id;
+        registration.service = service;
+        registration.address = id + ":1";
+        registration.failureDomain = domain;
+        registration.slots = 2;
+        this->gateway.shared().directory.put(registration, this->time);
+    }
+
+    static Route forwardedRoute(Repeatability repeatability)
+    {
+        Route route;
+        route.name = "fetch";
+        route.host = "front.example";
+        route.pathPrefix = "/fetch/";
+        route.repeatability = repeatability;
+        route.timeout = 1000_ms;
+        route.objective = 200_ms;
+        route.maximumAttempts = 2;
+        route.services = { { "store", 1 } };
+        return route;
+    }
+
+    static Route scatteredRoute(size_t shards, double minimumCoverage)
+    {
+        auto route = forwardedRoute(Repeatability::Idempotent);
+        route.name = "search";
+        route.pathPrefix = "/search/";
+        route.services.clear();
+        for (size_t index = 0; index < shards; ++index)
+            route.shards.push_back("shard-" + std::to_string(index));
+        route.recordLimit = 2;
+        route.minimumCoverage = minimumCoverage;
+        return route;
+    }
+
+    /// Two targets for each shard, "a0", "b0", "a1" and so on; "a" is in the gateway's failure domain.
+    void installScattered(size_t shards, double minimumCoverage)
+    {
+        this->gateway.install({ 1, { scatteredRoute(shards, minimumCoverage) }, {}, {} });
+        for (size_t index = 0; index < shards; ++index) {
+            this->addTarget("a" + std::to_string(index), "shard-" + std::to_string(index));
+            this->addTarget("b" + std::to_string(index), "shard-" + std::to_string(index), "graz-a");
+        }
+    }
+
+    void installForwarded(Repeatability repeatability)
+    {
+        this->gateway.install({ 1, { forwardedRoute(repeatability) }, {}, {} });
+        this->addTarget("near", "store");
+        this->addTarget("far", "store", "graz-a");
+    }
+
+    std::shared_ptr<GatewayRequest> request(std::string const& path, std::string const& deadline = "800")
+    {
+        CallerRequest request;
+        request.head = Poco::Net::HTTPRequest("GET", path, "HTTP/1.1");
+        request.head.set("Host", "front.example");
+        request.head.set("Toucan-Request-Id", "r1");
+        if (!deadline.empty())
+            request.head.set("Toucan-Deadline-Ms", deadline);
+        return this->gateway.handle(
+            std::move(request), [this](CallerAnswer&& answer) { this->answers.push_back(std::move(answer)); });
+    }
+
+    /// Ends the attempt `index` with an answer of its target.
+    void reply(size_t index, int status, std::string const& body, std::string const& signature = "s")
+    {
+        AttemptReply reply;
+        reply.transport = AttemptReply::Transport::Answered;
+        reply.head.setStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status));
+        reply.head.set("Toucan-Request-Id", "r1");
+        if (!signature.empty())
+            reply.head.set("Toucan-Signature", signature + std::to_string(index));
+        reply.body = body;
+        this->sent.at(index)->done(std::move(reply));
+    }
+
+    void shed(size_t index)
+    {
+        AttemptReply reply;
+        reply.transport = AttemptReply::Transport::Answered;
+        reply.head.setStatus(Poco::Net::HTTPResponse::HTTP_SERVICE_UNAVAILABLE);
+        reply.head.set("Toucan-Not-Run", "1");
+        this->sent.at(index)->done(std::move(reply));
+    }
+
+    void fail(size_t index, AttemptReply::Transport transport)
+    {
+        AttemptReply reply;
+        reply.transport = transport;
+        this->sent.at(index)->done(std::move(reply));
+    }
+
+    int status(size_t index = 0) const { return static_cast<int>(this->answers.at(index).head.getStatus()); }
+    std::string header(std::string const& name, size_t index = 0) const
+    {
+        return this->answers.at(index).head.get(name, "");
+    }
+};
+
+} // namespace Toucan
--- /dev/null
+++ b/Tests/Gateway/TestGatewayParts.cpp
@@ -0,0 +1,324 @@
+#include "Gateway/AttemptOutcome.h"
+#include "Gateway/DecisionLog.h"
+#include "Gateway/ExtraAttemptBudget.h"
+#include "Gateway/LatencyBook.h"
+#include "Gateway/RecordMerger.h"
+#include "Gateway/RouteTable.h"
+#include "Gateway/TargetDirectory.h"
+#include "Gateway/TargetSelector.h"
+
+#include <array>
+#include <vector>
+
+#include "CppUTest/TestHarness.h"
+
+using namespace Toucan;
+
+static Route routeOf(std::string const& name, std::string const& host, std::string const& prefix)
+{
+    Route route;
+    route.name = name;
+    route.host = host;
+    route.pathPrefix = prefix;
+    route.objective = 100_ms;
+    return route;
+}
+
+TEST_GROUP(RouteTable)
+{
+    RouteTable table { { 3,
+        { routeOf("short", "a.example", "/x/"), routeOf("long", "A.example", "/x/y/"),
+            routeOf("other", "b.example", "/x/") },
+        { { "s", 26 } }, {} } };
+};
+
+// Guards against a request that runs at the service of a shorter prefix.
+TEST(RouteTable, LongestPrefixOfTheHostWins)
+{
+    STRCMP_EQUAL("long", table.find("a.example", "/x/y/z")->name.c_str());
+    STRCMP_EQUAL("short", table.find("a.example", "/x/yy")->name.c_str());
+    STRCMP_EQUAL("other", table.find("B.EXAMPLE:8080", "/x/y/z")->name.c_str());
+    CHECK(!table.find("a.example", "/x"));
+    CHECK(!table.find("c.example", "/x/"));
+}
+
+// Guards against connections to a service that the configuration does not name.
+TEST(RouteTable, UnknownServiceGetsOneConnection)
+{
+    LONGS_EQUAL(26, table.connectionLimit("s"));
+    LONGS_EQUAL(1, table.connectionLimit("t"));
+}
+
+TEST_GROUP(TrafficSplitter) {};
+
+// Guards against a share that is off its weight in a short run of requests.
+TEST(TrafficSplitter, EachRunOfRequestsKeepsTheWeights)
+{
+    auto route = routeOf("split", "a.example", "/");
+    route.services = { { "a", 0.7 }, { "b", 0.3 } };
+    TrafficSplitter splitter;
+    int chosen = 0;
+    for (int count = 0; count < 20; ++count)
+        chosen += splitter.next(route).service == "a" ? 1 : 0;
+    LONGS_EQUAL(14, chosen);
+}
+
+TEST_GROUP(ExtraAttemptBudget) {};
+
+// Guards against extra attempts beyond the share of the node's own requests.
+TEST(ExtraAttemptBudget, SpendsAShareOfTheRequestsAndLittleSavings)
+{
+    ExtraAttemptBudget budget({ 0.2, 2 });
+    CHECK(!budget.tryTake("s"));
+    for (int count = 0; count < 1000; ++count)
+        budget.onRequest("s");
+    int taken = 0;
+    while (budget.tryTake("s"))
+        ++taken;
+    LONGS_EQUAL(2, taken);
+    CHECK(!budget.tryTake("t"));
+}
+
+TEST_GROUP(RecordMerger) {};
+
+// Guards against equal records that are dropped.
+TEST(RecordMerger, EqualRecordsAllCount)
+{
+    std::string const first(16, 'a');
+    std::string const second = std::string(16, '\xff') + std::string(16, 'a');
+    std::array<std::string_view, 2> const parts { first, second };
+    STRCMP_EQUAL((std::string(16, '\xff') + first + first).c_str(), mergeRecords(parts, 5).c_str());
+    LONGS_EQUAL(0, mergeRecords({}, 5).size());
+}
+
+TEST_GROUP(AttemptOutcome)
+{
+    GatewayHeaders names;
+    AttemptReply reply;
+
+    void setup() override
+    {
+        reply.transport = AttemptReply::Transport::Answered;
+        reply.head.set(names.signature, "s");
+    }
+};
+
+// Guards against an answer in a coding that the caller did not ask for, and against unsigned answers.
+TEST(AttemptOutcome, OnlyASignedPlainAnswerIsASuccess)
+{
+    CHECK(outcomeOf(reply, names) == AttemptOutcome::Success);
+    reply.head.set("Content-Encoding", "gzip");
+    CHECK(outcomeOf(reply, names) == AttemptOutcome::Unknown);
+    reply.head.erase("Content-Encoding");
+    reply.head.erase(names.signature);
+    CHECK(outcomeOf(reply, names) == AttemptOutcome::Unknown);
+}
+
+// Guards against "not run" from a status alone.
+TEST(AttemptOutcome, UnavailableWithoutTheMarkMayHaveRun)
+{
+    reply.head.setStatus(Poco::Net::HTTPResponse::HTTP_SERVICE_UNAVAILABLE);
+    CHECK(outcomeOf(reply, names) == AttemptOutcome::TargetFailed);
+    reply.head.set(names.notRun, "1");
+    CHECK(outcomeOf(reply, names) == AttemptOutcome::NotRun);
+}
+
+// Guards against an answer to an earlier request of the connection.
+TEST(AttemptOutcome, OtherRequestIdIsNoAnswer)
+{
+    CHECK(answersRequest(reply.head, "r1", names));
+    reply.head.set(names.requestId, "r0");
+    CHECK(!answersRequest(reply.head, "r1", names));
+}
+
+// Guards against a load header that cannot be read, and takes further figures.
+TEST(AttemptOutcome, LoadIsThreeNumbersOrMore)
+{
+    CHECK(!readLoad(reply.head, names));
+    reply.head.set(names.load, "3,x,8");
+    CHECK(!readLoad(reply.head, names));
+    reply.head.set(names.load, "3, 1,8,400");
+    LONGS_EQUAL(1, readLoad(reply.head, names)->waiting);
+}
+
+// Guards against fields of one connection that reach the next one, and against a caller that removes Host.
+TEST(AttemptOutcome, ConnectionFieldsAreRemoved)
+{
+    Poco::Net::HTTPRequest head("GET", "/");
+    head.set("Host", "a");
+    head.set("Connection", "close, X-Hop, Host");
+    head.set("X-Hop", "1");
+    head.set("X-Kept", "1");
+    head.set("Transfer-Encoding", "chunked");
+    removeConnectionFields(head);
+    CHECK(head.has("Host") && head.has("X-Kept"));
+    CHECK(!head.has("X-Hop") && !head.has("Connection") && !head.has("Transfer-Encoding"));
+}
+
+TEST_GROUP(DecisionLog) {};
+
+// Guards against a log that takes the processor when everything fails, and against silent loss of lines.
+TEST(DecisionLog, BoundsLinesAndCountsTheDropped)
+{
+    Milliseconds time { 0 };
+    std::vector<std::string> lines;
+    DecisionLog log([&lines](std::string const& line) { lines.push_back(line); }, [&time] { return time; });
+    for (int count = 0; count < 1000; ++count)
+        log.line("hedge", { { "request", "r" } });
+    CHECK(lines.size() < 300);
+    auto const before = lines.size();
+    log.line("stop", {}, DecisionLog::Weight::Always);
+    LONGS_EQUAL(before + 1, lines.size());
+    CHECK(lines.back().find("dropped_lines=") != std::string::npos);
+}
+
+// Guards against a value that forges another field or line.
+TEST(DecisionLog, ValuesAreQuoted)
+{
+    std::vector<std::string> lines;
+    DecisionLog log([&lines](std::string const& line) { lines.push_back(line); }, [] { return Milliseconds {}; });
+    log.line("answered", { { "request", "r\n\" x=1" } });
+    STRCMP_EQUAL("event=answered request=\"r?? x=1\"", lines[0].c_str());
+}
+
+TEST_GROUP(TargetSelection)
+{
+    TargetDirectory directory { "wien-a", { [](std::string_view, TargetRegistration const&) {} } };
+    TargetSelector selector { [] { return 0.0; } };
+    Milliseconds now { 1000 };
+
+    static TargetRegistration registration(std::string const& id, std::string const& domain)
+    {
+        TargetRegistration result;
+        result.id = id;
+        result.service = "s";
+        result.address = id;
+        result.failureDomain = domain;
+        result.slots = 2;
+        return result;
+    }
+
+    void setup() override
+    {
+        directory.put(registration("near", "wien-a"), now);
+        directory.put(registration("far", "graz-a"), now);
+    }
+
+    std::string chosen()
+    {
+        auto const target = selector.choose(directory.targets("s"), {}, 10_ms, now);
+        return target ? target->registration().id : "none";
+    }
+    GatewayTarget& near() { return *directory.targets("s")[0]; }
+};
+
+// Guards against traffic between failure domains that is paid for without need.
+TEST(TargetSelection, PrefersTheOwnFailureDomain) { STRCMP_EQUAL("near", chosen().c_str()); }
+
+// Guards against requests that pile up at a target that stands still.
+TEST(TargetSelection, AvoidsATargetWithAnOverdueRequest)
+{
+    near().onSent(now);
+    now += 60_ms;
+    STRCMP_EQUAL("far", chosen().c_str());
+    near().onEnded(GatewayTarget::Result::Answered, 1000_ms, 10_ms, now);
+    now += 10000_ms;
+    STRCMP_EQUAL("near", chosen().c_str());
+}
+
+// Guards against a slow target that keeps its share of the requests, and against one that is shunned for ever.
+TEST(TargetSelection, AvoidsASlowTargetForAWhile)
+{
+    for (int count = 0; count < 5; ++count) {
+        near().onSent(now);
+        near().onEnded(GatewayTarget::Result::Answered, now, 10_ms, now + 80_ms);
+        now += 80_ms;
+    }
+    STRCMP_EQUAL("far", chosen().c_str());
+    now += 15000_ms;
+    STRCMP_EQUAL("near", chosen().c_str());
+}
+
+// Guards against a target that fails part of its requests quickly and so looks fast.
+TEST(TargetSelection, AvoidsAFailingTarget)
+{
+    near().onSent(now);
+    near().onEnded(GatewayTarget::Result::Failed, now, 10_ms, now);
+    STRCMP_EQUAL("far", chosen().c_str());
+}
+
+// Guards against new connections to a dead target with every request.
+TEST(TargetSelection, UnreachableTargetIsBlockedForAGrowingTime)
+{
+    near().onEnded(GatewayTarget::Result::Unreachable, now, 10_ms, now);
+    CHECK(near().isBlocked(now + 200_ms));
+    CHECK(!near().isBlocked(now + 300_ms));
+    near().onEnded(GatewayTarget::Result::Unreachable, now, 10_ms, now);
+    CHECK(near().isBlocked(now + 400_ms));
+    DOUBLES_EQUAL(1500, TargetSelector::nextAvailable(directory.targets("s").first(1), now).value, 1);
+}
+
+// Guards against work at a target that is leaving.
+TEST(TargetSelection, DrainingTargetIsTheLastResortForAShortTime)
+{
+    auto leaving = registration("near", "wien-a");
+    leaving.state = TargetRegistration::State::Draining;
+    directory.put(leaving, now);
+    STRCMP_EQUAL("far", chosen().c_str());
+    directory.remove("far", TargetDirectory::Removal::AtOnce, now);
+    STRCMP_EQUAL("near", chosen().c_str());
+    now += 2000_ms;
+    STRCMP_EQUAL("none", chosen().c_str());
+}
+
+// Guards against a late write of an earlier incarnation that brings a gone target back.
+TEST(TargetSelection, OutdatedRegistrationIsIgnored)
+{
+    auto next = registration("near", "wien-a");
+    next.incarnation = 200;
+    next.sequence = 1;
+    directory.put(next, now);
+    auto old = registration("near", "wien-a");
+    old.incarnation = 100;
+    old.sequence = 50;
+    old.state = TargetRegistration::State::Draining;
+    directory.put(old, now);
+    STRCMP_EQUAL("near", chosen().c_str());
+}
+
+// Guards against beliefs about an earlier process that are held against its successor.
+TEST(TargetSelection, NewIncarnationStartsWithoutObservations)
+{
+    near().onReplaced();
+    STRCMP_EQUAL("far", chosen().c_str());
+    auto next = registration("near", "wien-a");
+    next.incarnation = 200;
+    directory.put(next, now);
+    STRCMP_EQUAL("near", chosen().c_str());
+}
+
+// Guards against the loss of targets whose entries lapsed while the registry was away.
+TEST(TargetSelection, DeferredRemovalIsUndoneByANewRegistration)
+{
+    directory.remove("near", TargetDirectory::Removal::Deferred, now + 2000_ms);
+    directory.remove("far", TargetDirectory::Removal::Deferred, now + 2000_ms);
+    DOUBLES_EQUAL(now.value + 2000, directory.expire(now)->value, 0.1);
+    STRCMP_EQUAL("near", chosen().c_str());
+    directory.put(registration("near", "wien-a"), now);
+    CHECK(!directory.expire(now + 2000_ms));
+    LONGS_EQUAL(1, directory.size());
+}
+
+TEST_GROUP(LatencyBook) {};
+
+// Guards against hedges that come too late for the objective, or for nearly every request.
+TEST(LatencyBook, HedgeDelayFollowsTheSlowQuantileWithinTheObjective)
+{
+    LatencyBook book;
+    auto const route = routeOf("r", "a", "/");
+    DOUBLES_EQUAL(40, book.hedgeDelay(route, {}).value, 0.1);
+    for (int count = 0; count < 100; ++count)
+        book.add(route, Milliseconds { count < 95 ? 12.0 : 500.0 }, 10_ms);
+    DOUBLES_EQUAL(14.4, book.hedgeDelay(route, 100_ms).value, 1);
+    DOUBLES_EQUAL(12, book.typical(route, 100_ms).value, 1);
+}
--- /dev/null
+++ b/Tests/Gateway/TestGatewayRequest.cpp
@@ -0,0 +1,341 @@
+#include "GatewayFixture.h"
+
+#include "CppUTest/TestHarness.h"
+
+using namespace Toucan;
+using Transport = AttemptReply::Transport;
+
+static std::string record(char character) { return std::string(16, character); }
+
+TEST_GROUP(ForwardedRequest)
+{
+    GatewayFixture fixture;
+};
+
+// Guards against an answer that loses the target's status, signature or body, or keeps fields of its connection.
+TEST(ForwardedRequest, RelaysTheAnswerUnchanged)
+{
+    fixture.installForwarded(Repeatability::Idempotent);
+    fixture.request("/fetch/1?x=%2F");
+    LONGS_EQUAL(1, fixture.sent.size());
+    auto const& message = fixture.sent[0]->message;
+    STRCMP_EQUAL("/fetch/1?x=%2F", message.head.getURI().c_str());
+    STRCMP_EQUAL("near", message.head.get("Toucan-Expect-Target").c_str());
+    STRCMP_EQUAL("r1", message.head.get("Toucan-Request-Id").c_str());
+    fixture.reply(0, 201, "body");
+    LONGS_EQUAL(1, fixture.answers.size());
+    LONGS_EQUAL(201, fixture.status());
+    STRCMP_EQUAL("s0", fixture.header("Toucan-Signature").c_str());
+    STRCMP_EQUAL("body", fixture.answers[0].body.c_str());
+}
+
+// Guards against a target that works longer than the caller or the route waits.
+TEST(ForwardedRequest, HandsOnTheTimeThatIsLeft)
+{
+    fixture.installForwarded(Repeatability::Idempotent);
+    fixture.request("/fetch/1", "300");
+    fixture.request("/fetch/1", "");
+    CHECK(std::stoi(fixture.sent[0]->message.head.get("Toucan-Deadline-Ms")) <= 300);
+    CHECK(std::stoi(fixture.sent[1]->message.head.get("Toucan-Deadline-Ms")) <= 1000);
+    CHECK(std::stoi(fixture.sent[1]->message.head.get("Toucan-Deadline-Ms")) > 900);
+}
+
+// Guards against a second run of a request whose first outcome is unknown.
+TEST(ForwardedRequest, NonIdempotentIsNotSentAgainAfterABrokenConnection)
+{
+    fixture.installForwarded(Repeatability::NonIdempotent);
+    fixture.request("/fetch/1");
+    fixture.fail(0, Transport::Broken);
+    LONGS_EQUAL(1, fixture.sent.size());
+    LONGS_EQUAL(502, fixture.status());
+}
+
+// Guards against a hedge of a request that must run once.
+TEST(ForwardedRequest, NonIdempotentIsNeverHedged)
+{
+    fixture.installForwarded(Repeatability::NonIdempotent);
+    fixture.request("/fetch/1");
+    fixture.advance(900_ms);
+    LONGS_EQUAL(1, fixture.sent.size());
+    LONGS_EQUAL(504, fixture.status());
+}
+
+// Guards against the loss of a request that its target did not start, although another target could.
+TEST(ForwardedRequest, NonIdempotentGoesToAnotherTargetAfterNotRun)
+{
+    fixture.installForwarded(Repeatability::NonIdempotent);
+    fixture.request("/fetch/1");
+    fixture.shed(0);
+    LONGS_EQUAL(2, fixture.sent.size());
+    STRCMP_EQUAL("far", fixture.sent[1]->message.head.get("Toucan-Expect-Target").c_str());
+    fixture.reply(1, 200, "ok");
+    LONGS_EQUAL(200, fixture.status());
+}
+
+// Guards against 503 for a request that may run: the caller would send it again.
+TEST(ForwardedRequest, NotRunIsSaidOnlyWhenNoTargetCanHaveRunIt)
+{
+    fixture.installForwarded(Repeatability::NonIdempotent);
+    fixture.request("/fetch/1");
+    fixture.shed(0);
+    fixture.fail(1, Transport::Broken);
+    LONGS_EQUAL(502, fixture.status());
+
+    fixture.request("/fetch/2");
+    fixture.shed(2);
+    fixture.shed(3);
+    LONGS_EQUAL(503, fixture.status(1));
+    CHECK(!fixture.header("Retry-After", 1).empty());
+}
+
+// Guards against a refusal of the only target that reaches the caller as if the gateway could not do better.
+TEST(ForwardedRequest, UnsentAttemptGoesElsewhereWithoutBudget)
+{
+    GatewayFixture poor({ 0, 0 });
+    poor.installForwarded(Repeatability::NonIdempotent);
+    poor.request("/fetch/1");
+    poor.fail(0, Transport::NotSent);
+    LONGS_EQUAL(2, poor.sent.size());
+    poor.reply(1, 200, "ok");
+    LONGS_EQUAL(200, poor.status());
+}
+
+// Guards against a fleet that multiplies its load when targets fail.
+TEST(ForwardedRequest, RetryNeedsBudget)
+{
+    GatewayFixture poor({ 0, 0 });
+    poor.installForwarded(Repeatability::Idempotent);
+    poor.request("/fetch/1");
+    poor.reply(0, 500, "broken");
+    LONGS_EQUAL(1, poor.sent.size());
+    LONGS_EQUAL(500, poor.status());
+    STRCMP_EQUAL("s0", poor.header("Toucan-Signature").c_str());
+}
+
+// Guards against more runs than the route's attempts.
+TEST(ForwardedRequest, RunsOnNoMoreTargetsThanTheRouteAllows)
+{
+    fixture.installForwarded(Repeatability::Idempotent);
+    fixture.addTarget("third", "store");
+    fixture.request("/fetch/1");
+    fixture.reply(0, 500, "broken");
+    fixture.reply(1, 500, "broken");
+    LONGS_EQUAL(2, fixture.sent.size());
+    LONGS_EQUAL(500, fixture.status());
+}
+
+// Guards against a repeated verdict on the request itself, which costs budget and changes nothing.
+TEST(ForwardedRequest, TargetsRefusalOfTheRequestIsFinal)
+{
+    fixture.installForwarded(Repeatability::Idempotent);
+    fixture.request("/fetch/1");
+    fixture.reply(0, 413, "too large");
+    LONGS_EQUAL(1, fixture.sent.size());
+    LONGS_EQUAL(413, fixture.status());
+}
+
+// Guards against a success that no target signed.
+TEST(ForwardedRequest, SuccessWithoutSignatureIsNotRelayed)
+{
+    fixture.installForwarded(Repeatability::NonIdempotent);
+    fixture.request("/fetch/1");
+    fixture.reply(0, 200, "garbage", "");
+    LONGS_EQUAL(502, fixture.status());
+}
+
+// Guards against requests to a target whose address belongs to another one by now.
+TEST(ForwardedRequest, ReplacedTargetGetsNoMoreRequests)
+{
+    fixture.installForwarded(Repeatability::NonIdempotent);
+    fixture.request("/fetch/1");
+    fixture.reply(0, 421, "", "");
+    LONGS_EQUAL(2, fixture.sent.size());
+    fixture.reply(1, 200, "ok");
+    fixture.request("/fetch/2");
+    STRCMP_EQUAL("far", fixture.sent[2]->message.head.get("Toucan-Expect-Target").c_str());
+}
+
+// Guards against work for a caller that has gone.
+TEST(ForwardedRequest, WorkEndsWithTheCaller)
+{
+    fixture.installForwarded(Repeatability::Idempotent);
+    auto const request = fixture.request("/fetch/1");
+    request->abandon();
+    CHECK(fixture.sent[0]->cancelled);
+    LONGS_EQUAL(0, fixture.answers.size());
+    LONGS_EQUAL(0, fixture.gateway.running());
+}
+
+// Guards against a broken-off request whose outcome nobody learns.
+TEST(ForwardedRequest, NonIdempotentWorkGoesOnWithoutTheCaller)
+{
+    fixture.installForwarded(Repeatability::NonIdempotent);
+    auto const request = fixture.request("/fetch/1");
+    request->abandon();
+    CHECK(!fixture.sent[0]->cancelled);
+    fixture.reply(0, 200, "ok");
+    LONGS_EQUAL(0, fixture.answers.size());
+}
+
+// Guards against a caller that waits although its request cannot be served.
+TEST(ForwardedRequest, RefusedAtOnceWithoutTargets)
+{
+    fixture.gateway.install({ 1, { GatewayFixture::forwardedRoute(Repeatability::Idempotent) }, {}, {} });
+    fixture.request("/fetch/1");
+    LONGS_EQUAL(503, fixture.status());
+    CHECK(!fixture.header("Retry-After").empty());
+}
+
+// Guards against 404 from a node that knows no configuration yet.
+TEST(ForwardedRequest, NotRunWithoutConfiguration)
+{
+    fixture.request("/fetch/1");
+    LONGS_EQUAL(503, fixture.status());
+    fixture.installForwarded(Repeatability::Idempotent);
+    fixture.request("/other/1");
+    LONGS_EQUAL(404, fixture.status(1));
+}
+
+// Guards against requests that wait for a processor that has no time for them.
+TEST(ForwardedRequest, RefusedAtOnceWhenTooManyRun)
+{
+    fixture.installForwarded(Repeatability::Idempotent);
+    for (int count = 0; count < 101; ++count)
+        fixture.request("/fetch/1");
+    LONGS_EQUAL(1, fixture.answers.size());
+    LONGS_EQUAL(503, fixture.status());
+    STRCMP_EQUAL("0.100", fixture.header("Retry-After").c_str());
+}
+
+TEST_GROUP(ScatteredRequest)
+{
+    GatewayFixture fixture;
+};
+
+// Guards against a merged answer with the wrong records, order, signatures or count of missing shards.
+TEST(ScatteredRequest, MergesTheGreatestRecordsOfAllParts)
+{
+    fixture.installScattered(2, 1);
+    fixture.request("/search/1");
+    LONGS_EQUAL(2, fixture.sent.size());
+    fixture.reply(0, 200, record('b') + record('d') + "rest");
+    fixture.reply(1, 200, record('c') + record('a'));
+    LONGS_EQUAL(200, fixture.status());
+    STRCMP_EQUAL((record('d') + record('c')).c_str(), fixture.answers[0].body.c_str());
+    STRCMP_EQUAL("s0, s1", fixture.header("Toucan-Part-Signatures").c_str());
+    STRCMP_EQUAL("0", fixture.header("Toucan-Missing-Parts").c_str());
+}
+
+// Guards against a pause of one target that delays the whole answer.
+TEST(ScatteredRequest, SlowPartIsHedgedAtAnotherTarget)
+{
+    fixture.installScattered(2, 1);
+    fixture.request("/search/1");
+    fixture.reply(0, 200, record('a'));
+    fixture.advance(100_ms);
+    LONGS_EQUAL(3, fixture.sent.size());
+    STRCMP_EQUAL("b1", fixture.sent[2]->message.head.get("Toucan-Expect-Target").c_str());
+    fixture.reply(2, 200, record('b'));
+    LONGS_EQUAL(200, fixture.status());
+    STRCMP_EQUAL("s0, s2", fixture.header("Toucan-Part-Signatures").c_str());
+}
+
+// Guards against a shard that is counted or merged twice when both attempts answer.
+TEST(ScatteredRequest, LoserOfAHedgeIsNotMerged)
+{
+    fixture.installScattered(2, 1);
+    fixture.request("/search/1");
+    fixture.advance(100_ms);
+    LONGS_EQUAL(4, fixture.sent.size());
+    fixture.reply(0, 200, record('a'));
+    fixture.reply(2, 200, record('a'));
+    LONGS_EQUAL(0, fixture.answers.size());
+    fixture.reply(3, 200, record('b'));
+    fixture.reply(1, 200, record('b'));
+    LONGS_EQUAL(1, fixture.answers.size());
+    STRCMP_EQUAL("s0, s3", fixture.header("Toucan-Part-Signatures").c_str());
+}
+
+// Guards against losers that are broken off at once, or left to work for long.
+TEST(ScatteredRequest, LosersEndSoonAfterTheAnswer)
+{
+    fixture.installScattered(1, 1);
+    fixture.request("/search/1");
+    fixture.advance(100_ms);
+    fixture.reply(1, 200, record('a'));
+    CHECK(!fixture.sent[0]->cancelled);
+    fixture.advance(450_ms);
+    CHECK(fixture.sent[0]->cancelled);
+}
+
+// Guards against a late whole answer where a timely partial one is worth more.
+TEST(ScatteredRequest, PartialAnswerBeforeTheObjectivePasses)
+{
+    fixture.installScattered(4, 0.75);
+    fixture.request("/search/1");
+    for (size_t index = 0; index < 3; ++index)
+        fixture.reply(index, 200, record('a'));
+    fixture.advance(150_ms);
+    LONGS_EQUAL(0, fixture.answers.size());
+    fixture.advance(50_ms);
+    LONGS_EQUAL(200, fixture.status());
+    STRCMP_EQUAL("1", fixture.header("Toucan-Missing-Parts").c_str());
+}
+
+// Guards against an answer below the least coverage.
+TEST(ScatteredRequest, TooFewPartsAreNoSuccess)
+{
+    fixture.installScattered(4, 0.75);
+    fixture.request("/search/1");
+    fixture.reply(0, 200, record('a'));
+    fixture.reply(1, 200, record('a'));
+    fixture.advance(1000_ms);
+    LONGS_EQUAL(504, fixture.status());
+}
+
+// Guards against a caller that waits for its deadline although too many shards are known to be down.
+TEST(ScatteredRequest, RefusedAtOnceWhenTooManyShardsAreDown)
+{
+    fixture.installScattered(2, 1);
+    fixture.gateway.shared().directory.remove("a1", TargetDirectory::Removal::AtOnce, {});
+    fixture.gateway.shared().directory.remove("b1", TargetDirectory::Removal::AtOnce, {});
+    fixture.request("/search/1");
+    LONGS_EQUAL(1, fixture.answers.size());
+    CHECK(fixture.status() == 502 || fixture.status() == 503);
+}
+
+// Guards against a signature of a failure among the parts.
+TEST(ScatteredRequest, FailureOfATargetIsNoPart)
+{
+    GatewayFixture poor({ 0, 0 });
+    poor.installScattered(2, 0.5);
+    poor.request("/search/1");
+    poor.reply(0, 500, record('z'));
+    poor.reply(1, 200, record('a'));
+    LONGS_EQUAL(200, poor.status());
+    STRCMP_EQUAL("s1", poor.header("Toucan-Part-Signatures").c_str());
+    STRCMP_EQUAL("1", poor.header("Toucan-Missing-Parts").c_str());
+}
+
+// Guards against parts of two configurations in one answer.
+TEST(ScatteredRequest, KeepsTheShardsOfItsConfiguration)
+{
+    fixture.installScattered(2, 1);
+    fixture.request("/search/1");
+    auto next = GatewayFixture::scatteredRoute(1, 1);
+    next.shards = { "other" };
+    fixture.gateway.install({ 2, { next }, {}, {} });
+    fixture.shed(0);
+    LONGS_EQUAL(3, fixture.sent.size());
+    STRCMP_EQUAL("b0", fixture.sent[2]->message.head.get("Toucan-Expect-Target").c_str());
+}
+
+// Guards against a configuration that comes back after a newer one.
+TEST(ScatteredRequest, OlderConfigurationIsNotInstalled)
+{
+    fixture.gateway.install({ 7, {}, {}, {} });
+    fixture.gateway.install({ 5, { GatewayFixture::scatteredRoute(1, 1) }, {}, {} });
+    LONGS_EQUAL(7, fixture.gateway.version());
+    fixture.request("/search/1");
+    LONGS_EQUAL(404, fixture.status());
+}
--- /dev/null
+++ b/Tests/PlatformAdapter/TestDocuments.cpp
@@ -0,0 +1,121 @@
+#include "Base/Error.h"
+#include "platform/Documents.h"
+
+#include <string>
+
+#include "CppUTest/TestHarness.h"
+
+using namespace Toucan;
+using namespace Toucan::Platform;
+
+static std::string const goodTarget
+    = R"({"service":"s","addr":"10.128.0.9:8080","zone":"wien-a","version":"v1","slots":2,"state":"ready",)"
+      R"("warmup_left_ms":1500,"seq":4,"born":1700000000000,"new_field":[1]})";
+
+static std::string without(std::string text, std::string const& part, std::string const& replacement = "")
+{
+    auto const at = text.find(part);
+    CHECK(at != std::string::npos);
+    return text.replace(at, part.size(), replacement);
+}
+
+TEST_GROUP(Documents) {};
+
+// Guards against a field that is read under the wrong name.
+TEST(Documents, ReadsARegistration)
+{
+    auto const target = readRegistration("i-1", goodTarget);
+    STRCMP_EQUAL("i-1", target.id.c_str());
+    STRCMP_EQUAL("s", target.service.c_str());
+    STRCMP_EQUAL("10.128.0.9:8080", target.address.c_str());
+    STRCMP_EQUAL("wien-a", target.failureDomain.c_str());
+    LONGS_EQUAL(2, target.slots);
+    CHECK(target.state == TargetRegistration::State::Serving);
+    DOUBLES_EQUAL(1500, target.warmUpLeft.value, 0);
+    LONGS_EQUAL(4, target.sequence);
+    CHECK(target.incarnation == 1700000000000);
+}
+
+static void checkRefused(std::string const& text)
+{
+    auto const change = readEntry("servers/i-1", text);
+    CHECK(change.has_value());
+    auto const* const unusable = std::get_if<UnusableEntry>(&*change);
+    CHECK(unusable);
+    if (unusable)
+        STRCMP_EQUAL("i-1", unusable->id.c_str());
+}
+
+// Guards against entries of other writers that name a target to use.
+TEST(Documents, RefusesBadRegistrations)
+{
+    for (auto const* part : { R"("service":"s",)", R"("addr":"10.128.0.9:8080",)", R"("zone":"wien-a",)",
+             R"("version":"v1",)", R"("slots":2,)", R"("state":"ready",)", R"("warmup_left_ms":1500,)", R"("seq":4,)" })
+        checkRefused(without(goodTarget, part));
+    checkRefused(without(goodTarget, "\"ready\"", "\"sleeping\""));
+    checkRefused(without(goodTarget, ":2,", ":\"2\","));
+    checkRefused(without(goodTarget, ":2,", ":0,"));
+    checkRefused(without(goodTarget, ":2,", ":-2,"));
+    checkRefused(without(goodTarget, ":2,", ":true,"));
+    checkRefused(without(goodTarget, ":4,", ":4.5,"));
+    checkRefused(without(goodTarget, "1500", "\"1500\""));
+    checkRefused(without(goodTarget, "1500", "-1"));
+    checkRefused(without(goodTarget, "10.128.0.9:8080", "db.example:8080"));
+    checkRefused(without(goodTarget, "10.128.0.9:8080", "10.128.0.9"));
+    checkRefused(without(goodTarget, "10.128.0.9:8080", "10.128.0.9:0"));
+    checkRefused(without(goodTarget, "1700000000000", "\"1\""));
+    checkRefused("\xff\xfe");
+    checkRefused("");
+    checkRefused("[]");
+    checkRefused("{");
+    checkRefused("7");
+}
+
+// Guards against changes that the node takes for its own.
+TEST(Documents, OtherKeysAreIgnored)
+{
+    CHECK(!readEntry("other/key", "x"));
+    CHECK(!readRemoval("op/config"));
+    auto const removal = readRemoval("servers/i-1");
+    STRCMP_EQUAL("i-1", std::get<TargetRemoved>(*removal).id.c_str());
+}
+
+// Guards against routes whose meaning changes on the way.
+TEST(Documents, ReadsAConfiguration)
+{
+    auto const configuration = readConfiguration(
+        R"({"version":7,"routes":[{"name":"r1","host":"a.example","prefix":"/x/","route_kind":"idempotent",)"
+        R"("timeout_ms":1000,"goal_ms":100,"priority":1,"gather":["s1","s2"],"attempts":2,"top_k":20,"min_bound":0.89},)"
+        R"({"name":"r2","host":"a.example","prefix":"/y/","route_kind":"keyed","timeout_ms":500,"attempts":1,)"
+        R"("traffic_split":[{"service":"s1","weight":3},{"service":"s2","weight":1}]},)"
+        R"({"name":"r3","host":"a.example","prefix":"/z/","route_kind":"non_idempotent","timeout_ms":500,)"
+        R"("goal_ms":50,"attempts":2,"service":"s1"}],)"
+        R"("services":[{"name":"s1","health_path":"/health","max_conns":26,"protocol":"h1","tls":false}],)"
+        R"("limits":{"header_bytes":16384,"max_body_bytes":262144,"header_timeout_ms":3000,"idle_timeout_ms":15000}})");
+    LONGS_EQUAL(7, configuration.version);
+    LONGS_EQUAL(3, configuration.routes.size());
+    auto const& scattered = configuration.routes[0];
+    CHECK(scattered.isScattered() && scattered.repeatability == Repeatability::Idempotent);
+    LONGS_EQUAL(20, scattered.recordLimit);
+    DOUBLES_EQUAL(0.89, scattered.minimumCoverage, 0);
+    DOUBLES_EQUAL(100, scattered.objective.value, 0);
+    auto const& split = configuration.routes[1];
+    CHECK(split.repeatability == Repeatability::NonIdempotent);
+    LONGS_EQUAL(2, split.services.size());
+    DOUBLES_EQUAL(3, split.services[0].weight, 0);
+    DOUBLES_EQUAL(500, split.objective.value, 0);
+    STRCMP_EQUAL("s1", configuration.routes[2].services[0].service.c_str());
+    LONGS_EQUAL(26, configuration.services[0].connectionLimit);
+    DOUBLES_EQUAL(15000, configuration.limits.idleTimeout.value, 0);
+}
+
+// Guards against half of a configuration in force.
+TEST(Documents, RefusesABadConfigurationWhole)
+{
+    for (auto const* text : { "{}", R"({"version":1,"routes":[{}],"services":[]})", R"({"version":"1"})", "\x01",
+             R"({"version":1,"routes":[{"name":"r","host":"h","prefix":"/","route_kind":"idempotent",)"
+             R"("timeout_ms":1,"attempts":1,"gather":[]}],"services":[]})" }) {
+        auto const change = readEntry("op/config", text);
+        CHECK(std::get_if<UnusableEntry>(&*change));
+    }
+}
