Bound extra attempts by a sliding window and set the time left at the send

The trace shows attempts that waited over 0.5 s in the pool for one of the node's three connections and kept the deadline of the time before.

Ruled out: a slow clock (the steady clock is used) and slow connects (bounded at 250 ms).

New integration tests run the gateway as a process against stand-ins of the store and the targets.

--- a/Libraries/Gateway/ExtraAttemptBudget.cpp
+++ b/Libraries/Gateway/ExtraAttemptBudget.cpp
@@ -1,26 +1,57 @@
 #include "Gateway/ExtraAttemptBudget.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace Toucan {
 
+/// Part of the budget that hedges may use; the whole of a budget that is too small to divide.
+constexpr double hedgePart = 0.75;
+constexpr double indivisibleBudget = 2;
+
 ExtraAttemptBudget::ExtraAttemptBudget(Limits limits)
     : limits(limits)
 {
 }
 
-void ExtraAttemptBudget::onRequest(std::string const& service)
+int64_t ExtraAttemptBudget::sliceNumber(Milliseconds now) const
+{
+    return static_cast<int64_t>(std::floor(now.value * slicesPerWindow / this->limits.window.value));
+}
+
+ExtraAttemptBudget::Slice& ExtraAttemptBudget::currentSlice(std::string const& service, Milliseconds now)
+{
+    auto const number = this->sliceNumber(now);
+    auto& slices = this->byService[service];
+    auto& slice = slices[static_cast<size_t>(number) % slices.size()];
+    if (slice.number != number)
+        slice = { number, 0, 0 };
+    return slice;
+}
+
+void ExtraAttemptBudget::onRequest(std::string const& service, Milliseconds now)
 {
-    auto& saved = this->savedByService[service];
-    saved = std::min(this->limits.savings, saved + this->limits.ratio);
+    this->currentSlice(service, now).requests += 1;
 }
 
-bool ExtraAttemptBudget::tryTake(std::string const& service)
+bool ExtraAttemptBudget::tryTake(std::string const& service, Use use, Milliseconds now)
 {
-    auto& saved = this->savedByService[service];
-    if (saved < 1)
+    auto& current = this->currentSlice(service, now);
+    double requests = 0;
+    double extras = 0;
+    for (auto const& slice : this->byService[service]) {
+        auto const age = current.number - slice.number;
+        // The oldest slices lie partly outside the window: their spending counts, their requests do not.
+        if (slice.number >= 0 && age < static_cast<int64_t>(slicesPerWindow))
+            requests += slice.requests;
+        if (slice.number >= 0 && age <= static_cast<int64_t>(slicesPerWindow))
+            extras += slice.extras;
+    }
+    auto const budget = this->limits.ratio * requests + this->limits.allowance;
+    bool const reserves = use == Use::Hedge && budget > indivisibleBudget;
+    if (extras + 1 > (reserves ? std::max(indivisibleBudget, budget * hedgePart) : budget))
         return false;
-    saved -= 1;
+    current.extras += 1;
     return true;
 }
 
--- a/Libraries/Gateway/GatewayMessages.h
+++ b/Libraries/Gateway/GatewayMessages.h
@@ -54,6 +54,8 @@
     Milliseconds timeout;
     /// A kept connection may be closed by the target just now, which leaves the outcome unknown.
     bool needsFreshConnection { false };
+    /// Called when a connection takes the request, which may have waited for one: the time that is left is less then.
+    std::function<void(Poco::Net::HTTPRequest&)> beforeSending;
     /// Whether a response answers this attempt, and not an earlier one on the same connection.
     std::function<bool(Poco::Net::HTTPResponse const&)> isOwnResponse;
 };
--- a/Libraries/Gateway/GatewayRequest.cpp
+++ b/Libraries/Gateway/GatewayRequest.cpp
@@ -72,7 +72,7 @@
 {
     auto const self = this->shared_from_this();
     for (auto const& part : this->parts)
-        this->context.budget.onRequest(part.service);
+        this->context.budget.onRequest(part.service, this->receivedAt);
     for (size_t index = 0; index < this->parts.size(); ++index) {
         if (!this->send(index, AttemptReason::First))
             this->failPart(index);
@@ -84,12 +84,17 @@
 Poco::Net::HTTPRequest GatewayRequest::createHead(GatewayTarget const& target) const
 {
     auto head = this->request.head;
-    auto const left = std::max(this->deadline - this->now(), Milliseconds { 1 });
-    head.set(this->context.headers.deadline, Poco::NumberFormatter::format(static_cast<int>(left.value)));
+    this->setTimeLeft(head);
     head.set(this->context.headers.expectedTarget, target.registration().id);
     return head;
 }
 
+void GatewayRequest::setTimeLeft(Poco::Net::HTTPRequest& head) const
+{
+    auto const left = std::max(this->deadline - this->now(), Milliseconds { 1 });
+    head.set(this->context.headers.deadline, Poco::NumberFormatter::format(static_cast<int>(left.value)));
+}
+
 bool GatewayRequest::send(size_t partIndex, AttemptReason reason)
 {
     auto& part = this->parts[partIndex];
@@ -109,7 +114,8 @@
         [](Attempt const& attempt) { return attempt.running; })
         || part.exposures > 0;
     if (reason != AttemptReason::First && reachedBefore) {
-        if (!this->context.budget.tryTake(part.service)) {
+        auto const use = reason == AttemptReason::Hedge ? ExtraAttemptBudget::Use::Hedge : ExtraAttemptBudget::Use::Retry;
+        if (!this->context.budget.tryTake(part.service, use, now)) {
             this->context.metrics.count("extra_attempts_denied");
             this->context.log.line("extra-attempt-denied",
                 { { "request", this->requestId }, { "service", part.service }, { "why", "budget spent" } });
@@ -129,6 +135,8 @@
     message.isOwnResponse = [names = &this->context.headers, id = this->requestId](HTTPResponse const& head) {
         return answersRequest(head, id, *names);
     };
+    message.beforeSending
+        = [self = this->shared_from_this()](Poco::Net::HTTPRequest& head) { self->setTimeLeft(head); };
     auto const attemptIndex = part.attempts.size();
     target->onSent(now);
     part.attempts.push_back({ target, now, {}, true });
--- a/Libraries/Gateway/GatewayRequest.h
+++ b/Libraries/Gateway/GatewayRequest.h
@@ -72,6 +72,7 @@
     Milliseconds now() const { return this->context.hooks.now(); }
     /// Sends the part to another target; returns whether one was found that the limits allow.
     bool send(size_t partIndex, AttemptReason reason);
+    void setTimeLeft(Poco::Net::HTTPRequest& head) const;
     Poco::Net::HTTPRequest createHead(GatewayTarget const& target) const;
     void onReply(size_t partIndex, size_t attemptIndex, AttemptReply&& reply);
     void observe(Attempt const& attempt, AttemptOutcome outcome, AttemptReply const& reply);
--- a/Libraries/Gateway/RegistrySync.cpp
+++ b/Libraries/Gateway/RegistrySync.cpp
@@ -96,7 +96,7 @@
     this->connected = true;
     if (this->loaded)
         this->returnedAt = this->now();
-    this->context.log.line("registry-regained",
+    this->context.log.line(this->loaded ? "registry-regained" : "registry-connected",
         { { "failures", std::to_string(this->failures) }, { "revision", std::to_string(this->revision) } },
         DecisionLog::Weight::Always);
     this->failures = 0;
--- a/Libraries/GatewayNode/GatewayServer.cpp
+++ b/Libraries/GatewayNode/GatewayServer.cpp
@@ -119,6 +119,7 @@
     exchange.body = std::move(message.body);
     exchange.timeout = message.timeout;
     exchange.connection = message.needsFreshConnection ? HttpExchange::Connection::Fresh : HttpExchange::Connection::Any;
+    exchange.beforeSending = std::move(message.beforeSending);
     exchange.isOwnResponse = std::move(message.isOwnResponse);
     exchange.done = [done = std::move(done)](HttpClientResult&& result) {
         done({ transportOf(result.transport), std::move(result.head), std::move(result.body) });
--- a/Libraries/GatewayNode/GatewaySettings.cpp
+++ b/Libraries/GatewayNode/GatewaySettings.cpp
@@ -9,6 +9,16 @@
 constexpr uint64_t longestStopMs = 600000;
 constexpr uint64_t mostSharers = 10000;
 
+/// Requests that are on their way at the end of a window are counted at the target in the next one.
+constexpr double ratioMargin = 0.95;
+static void readExtraAttempts(SettingsReader& reader, GatewaySettings& settings)
+{
+    auto& limits = settings.extraAttempts;
+    limits.ratio = ratioMargin * reader.number("ratio", limits.ratio, { 0, 1 });
+    limits.allowance = reader.number("allowance", limits.allowance, { 0, 1000000 });
+    limits.window = { 1000 * reader.number("windowSeconds", limits.window.value / 1000, { 1, 3600 }) };
+}
+
 GatewaySettings parseGatewaySettings(std::string const& file, std::string_view text)
 {
     auto const document = SettingsText::create(file, text);
@@ -30,8 +40,11 @@
     settings.balancerLag = milliseconds("balancerLagMs", settings.balancerLag);
     settings.connectionSharers = static_cast<uint32_t>(
         reader.integer("connectionSharers", settings.connectionSharers, { 1, mostSharers }));
-    settings.extraAttempts.ratio = reader.number("extraAttemptRatio", settings.extraAttempts.ratio, { 0, 1 });
-    settings.extraAttempts.savings = reader.number("extraAttemptSavings", settings.extraAttempts.savings, { 0, 1000 });
+    if (reader.has("extraAttempts")) {
+        SettingsReader budget(reader.object("extraAttempts"), reader.pathOf("extraAttempts"), faults);
+        readExtraAttempts(budget, settings);
+        budget.refuseUnknownKeys();
+    }
     reader.refuseUnknownKeys();
     document.refuse(std::move(faults));
     return settings;
--- a/Libraries/Net/HttpClientPool.cpp
+++ b/Libraries/Net/HttpClientPool.cpp
@@ -46,7 +46,8 @@
         head.setVersion(Poco::Net::HTTPMessage::HTTP_1_1);
         if (!head.has(Poco::Net::HTTPRequest::HOST))
             head.setHost(endpoint);
-        head.set("Connection", "keep-alive");
+        // HTTP/1.1 keeps connections without being asked to (RFC 9112, section 9.3).
+        head.erase("Connection");
         if (bodySize || head.getMethod() == Poco::Net::HTTPRequest::HTTP_POST)
             head.setContentLength(static_cast<std::streamsize>(bodySize));
         std::ostringstream text;
@@ -89,7 +90,9 @@
             this->pending = std::move(next);
             this->resetReader();
             this->sentBefore = this->channel->sent();
-            auto const& exchange = this->pending->exchange;
+            auto& exchange = this->pending->exchange;
+            if (exchange.beforeSending)
+                exchange.beforeSending(exchange.head);
             this->channel->write(writeRequest(exchange.head, endpoint, exchange.body ? exchange.body->size() : 0));
             if (exchange.body)
                 this->channel->write(*exchange.body);
--- a/Libraries/Net/HttpClientPool.h
+++ b/Libraries/Net/HttpClientPool.h
@@ -57,6 +57,8 @@
     } whenBusy { WhenBusy::Wait };
     /// Time for the whole exchange, with the wait for a connection.
     Milliseconds timeout;
+    /// Called just before the request is given to a connection; may change its fields.
+    std::function<void(Poco::Net::HTTPRequest&)> beforeSending;
     /// Whether a response answers this exchange; others are dropped and the next one is awaited. Every response does
     /// when not set.
     std::function<bool(Poco::Net::HTTPResponse const&)> isOwnResponse;
--- a/Tests/Gateway/GatewayFixture.h
+++ b/Tests/Gateway/GatewayFixture.h
@@ -29,7 +29,7 @@
     std::vector<CallerAnswer> answers;
     Gateway gateway;
 
-    explicit GatewayFixture(ExtraAttemptBudget::Limits budget = { 1, 5 })
+    explicit GatewayFixture(ExtraAttemptBudget::Limits budget = { 1, 5, 10000_ms })
         : gateway({ "wien-a", {}, budget, 100 }, this->hooks())
     {
     }
--- a/Tests/Gateway/TestGatewayParts.cpp
+++ b/Tests/Gateway/TestGatewayParts.cpp
@@ -68,15 +68,47 @@
 // Guards against extra attempts beyond the share of the node's own requests.
 TEST(ExtraAttemptBudget, SpendsAShareOfTheRequestsAndLittleSavings)
 {
-    ExtraAttemptBudget budget({ 0.2, 2 });
-    CHECK(!budget.tryTake("s"));
-    for (int count = 0; count < 1000; ++count)
-        budget.onRequest("s");
-    int taken = 0;
-    while (budget.tryTake("s"))
-        ++taken;
-    LONGS_EQUAL(2, taken);
-    CHECK(!budget.tryTake("t"));
+    using Use = ExtraAttemptBudget::Use;
+    ExtraAttemptBudget budget({ 0.2, 2, 10000_ms });
+    auto const takeAll = [&budget](Use use, Milliseconds now) {
+        int taken = 0;
+        while (budget.tryTake("s", use, now))
+            ++taken;
+        return taken;
+    };
+    for (int count = 0; count < 100; ++count)
+        budget.onRequest("s", 1000_ms);
+    LONGS_EQUAL(16, takeAll(Use::Hedge, 1000_ms));
+    LONGS_EQUAL(6, takeAll(Use::Retry, 9000_ms));
+    // Nothing is left of the allowance for another window's burst.
+    LONGS_EQUAL(0, takeAll(Use::Retry, 10400_ms));
+}
+
+// Guards against a burst of retries that the requests of an earlier window pay for, and against spending that is
+// forgotten while it still lies in the window.
+TEST(ExtraAttemptBudget, NoWindowHoldsMoreThanItsShare)
+{
+    ExtraAttemptBudget budget({ 0.2, 0, 10000_ms });
+    std::vector<std::pair<int, bool>> history;
+    for (int at = 0; at < 60000; at += 10) {
+        Milliseconds const now { static_cast<double>(at) };
+        // Requests come in bursts; extra attempts are asked for all the time.
+        if (at / 3000 % 3 == 0) {
+            budget.onRequest("s", now);
+            history.emplace_back(at, false);
+        }
+        if (budget.tryTake("s", ExtraAttemptBudget::Use::Retry, now))
+            history.emplace_back(at, true);
+    }
+    for (int end = 10000; end < 60000; end += 250) {
+        double requests = 0;
+        double extras = 0;
+        for (auto const& [at, extra] : history) {
+            if (at > end - 10000 && at <= end)
+                (extra ? extras : requests) += 1;
+        }
+        CHECK(extras <= 0.2 * requests + 1);
+    }
 }
 
 TEST_GROUP(RecordMerger) {};
--- a/Tests/Gateway/TestGatewayRequest.cpp
+++ b/Tests/Gateway/TestGatewayRequest.cpp
@@ -91,7 +91,7 @@
 // Guards against a refusal of the only target that reaches the caller as if the gateway could not do better.
 TEST(ForwardedRequest, UnsentAttemptGoesElsewhereWithoutBudget)
 {
-    GatewayFixture poor({ 0, 0 });
+    GatewayFixture poor({ 0, 0, 10000_ms });
     poor.installForwarded(Repeatability::NonIdempotent);
     poor.request("/fetch/1");
     poor.fail(0, Transport::NotSent);
@@ -103,7 +103,7 @@
 // Guards against a fleet that multiplies its load when targets fail.
 TEST(ForwardedRequest, RetryNeedsBudget)
 {
-    GatewayFixture poor({ 0, 0 });
+    GatewayFixture poor({ 0, 0, 10000_ms });
     poor.installForwarded(Repeatability::Idempotent);
     poor.request("/fetch/1");
     poor.reply(0, 500, "broken");
@@ -307,7 +307,7 @@
 // Guards against a signature of a failure among the parts.
 TEST(ScatteredRequest, FailureOfATargetIsNoPart)
 {
-    GatewayFixture poor({ 0, 0 });
+    GatewayFixture poor({ 0, 0, 10000_ms });
     poor.installScattered(2, 0.5);
     poor.request("/search/1");
     poor.reply(0, 500, record('z'));
--- /dev/null
+++ b/Tests/Integration/platform_standin.py
@@ -0,0 +1,479 @@
+"""Stand-ins for the users' platform: its metadata store, targets that register there, and gateway processes.
+
+The stand-ins follow the published protocol only as far as the gateway uses it. Every target keeps a history of what
+it ran, from which the tests check the promises.
+"""
+
+import base64
+import collections
+import http.client
+import http.server
+import json
+import pathlib
+import select
+import signal
+import socket
+import struct
+import subprocess
+import threading
+import time
+import urllib.parse
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+GATEWAY = ROOT / "build" / "toucan-gateway"
+HOST = "front.example"
+
+
+class QuietServer(http.server.ThreadingHTTPServer):
+    """HTTP server on loopback whose connections end with it."""
+
+    daemon_threads = True
+    allow_reuse_address = True
+    request_queue_size = 128
+
+    def __init__(self, handler, port=0):
+        super().__init__(("127.0.0.1", port), handler)
+        self.open_sockets = set()
+        self.lock = threading.Lock()
+        threading.Thread(target=self.serve_forever, kwargs={"poll_interval": 0.05}, daemon=True).start()
+
+    def handle_error(self, request, client_address):
+        """Broken connections are part of the tests."""
+
+    def process_request(self, request, client_address):
+        with self.lock:
+            self.open_sockets.add(request)
+        super().process_request(request, client_address)
+
+    def shutdown_request(self, request):
+        with self.lock:
+            self.open_sockets.discard(request)
+        super().shutdown_request(request)
+
+    def reset_connections(self):
+        """Resets every open connection."""
+        with self.lock:
+            sockets = list(self.open_sockets)
+        for connection in sockets:
+            reset(connection)
+
+    def stop(self):
+        """Ends the server and its connections, as a crash does."""
+        self.shutdown()
+        self.server_close()
+        self.reset_connections()
+
+
+def reset(connection):
+    """Closes a connection so that the peer sees a reset."""
+    try:
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        connection.shutdown(socket.SHUT_RD)
+        connection.close()
+    except OSError:
+        pass
+
+
+class Handler(http.server.BaseHTTPRequestHandler):
+    """Base of the stand-ins' handlers."""
+
+    protocol_version = "HTTP/1.1"
+    disable_nagle_algorithm = True
+
+    def log_message(self, format, *args):  # pylint: disable=redefined-builtin
+        """Nothing is printed for each request."""
+
+    def answer(self, status, body=b"", headers=()):
+        """Sends a whole response."""
+        self.send_response(status)
+        for name, value in headers:
+            self.send_header(name, value)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+
+class Store:
+    """The platform's metadata store: items, revisions, ranges and watches."""
+
+    def __init__(self):
+        self.condition = threading.Condition()
+        self.items = {}
+        self.events = []
+        self.revision = 100
+        self.oldest_event = 100
+        self.calls = collections.Counter()
+        # None serves; "refuse" answers 503, "silent" answers nothing.
+        self.fault = None
+        store = self
+
+        class StoreHandler(Handler):
+            """One call."""
+
+            def do_GET(self):  # pylint: disable=invalid-name
+                """Serves kv-range and kv-watch."""
+                store.serve(self)
+
+        self.server = QuietServer(StoreHandler)
+
+    @property
+    def address(self):
+        """Address as in the settings."""
+        return f"127.0.0.1:{self.server.server_port}"
+
+    def serve(self, call):
+        """Answers one call."""
+        url = urllib.parse.urlsplit(call.path)
+        query = {key: values[0] for key, values in urllib.parse.parse_qs(url.query, keep_blank_values=True).items()}
+        self.calls[url.path] += 1
+        if self.fault == "refuse":
+            call.answer(503)
+            return
+        if self.fault == "silent":
+            time.sleep(2)
+            return
+        if url.path == "/api/kv-range":
+            self.answer_range(call, query)
+        elif url.path == "/api/kv-watch":
+            self.answer_watch(call, query)
+        else:
+            call.answer(404)
+
+    def answer_json(self, call, value):
+        """Sends a JSON body."""
+        call.answer(200, json.dumps(value).encode(), [("Content-Type", "application/json")])
+
+    def answer_range(self, call, query):
+        """Answers one page of at most 50 items."""
+        with self.condition:
+            keys = sorted(key for key in self.items
+                          if key.startswith(query["prefix"]) and key > query.get("after", ""))
+            page = [self.items[key] for key in keys[:50]]
+            body = {"items": page, "more_pages": len(keys) > 50, "as_of": self.revision}
+        self.answer_json(call, body)
+
+    def answer_watch(self, call, query):
+        """Waits for events after a revision."""
+        after = int(query["after"])
+        end = time.monotonic() + int(query["wait_ms"]) / 1000
+        with self.condition:
+            while True:
+                if after < self.oldest_event:
+                    call.answer(410)
+                    return
+                events = [event for event in self.events if event["revision"] > after]
+                left = end - time.monotonic()
+                if events or left <= 0 or self.fault:
+                    break
+                self.condition.wait(left)
+            body = {"events": events, "as_of": self.revision}
+        if self.fault:
+            reset(call.connection)
+            return
+        self.answer_json(call, body)
+
+    def put_bytes(self, key, value):
+        """Writes raw bytes."""
+        with self.condition:
+            self.revision += 1
+            created = self.items.get(key, {"created_rev": self.revision})["created_rev"]
+            item = {"key": key, "value": base64.b64encode(value).decode(), "revision": self.revision,
+                    "created_rev": created, "lease": 0}
+            self.items[key] = item
+            self.events.append(item)
+            self.condition.notify_all()
+
+    def put(self, key, value):
+        """Writes a JSON document."""
+        self.put_bytes(key, json.dumps(value).encode())
+
+    def delete(self, key):
+        """Removes an item."""
+        with self.condition:
+            self.revision += 1
+            self.items.pop(key, None)
+            self.events.append({"key": key, "revision": self.revision, "tombstone": True})
+            self.condition.notify_all()
+
+    def forget_history(self):
+        """Drops all events; watches from before get 410."""
+        with self.condition:
+            self.events.clear()
+            self.oldest_event = self.revision
+            self.condition.notify_all()
+
+    def set_fault(self, fault):
+        """Begins or, with None, ends an outage; waiting watches are cut."""
+        with self.condition:
+            self.fault = fault
+            self.condition.notify_all()
+
+    def stop(self):
+        """Ends the store."""
+        self.server.stop()
+
+
+class Target:
+    """A target of one service that registers itself and records what it runs."""
+
+    def __init__(self, store, identity, service, zone="wien-a", port=0):
+        self.store = store
+        self.identity = identity
+        self.service = service
+        self.zone = zone
+        self.state = "ready"
+        self.sequence = 0
+        self.born = int(time.time() * 1000)
+        self.delay = 0.0
+        # Name of a method behave_* that answers instead of the usual one.
+        self.behaviour = None
+        self.runs = []
+        self.arrivals = []
+        self.lock = threading.Lock()
+        target = self
+
+        class TargetHandler(Handler):
+            """One request."""
+
+            def handle_request(self):
+                """Reads the body and lets the target act."""
+                body = self.rfile.read(int(self.headers.get("Content-Length", 0)))
+                target.serve(self, body)
+
+            do_GET = do_POST = do_PUT = do_DELETE = do_PATCH = handle_request
+
+        self.server = QuietServer(TargetHandler, port)
+        self.register()
+
+    @property
+    def port(self):
+        """Port of the target."""
+        return self.server.server_port
+
+    def register(self):
+        """Writes the target's entry."""
+        self.sequence += 1
+        self.store.put(f"servers/{self.identity}", {
+            "service": self.service, "addr": f"127.0.0.1:{self.port}", "zone": self.zone, "version": "v1",
+            "slots": 8, "state": self.state, "warmup_left_ms": 0, "seq": self.sequence, "born": self.born})
+
+    def drain(self):
+        """Announces that the target leaves."""
+        self.state = "draining"
+        self.register()
+
+    def stamp(self, call):
+        """Signature of one answer."""
+        return f"{self.identity}.{call.headers['Request-Id']}.{len(self.runs)}"
+
+    def serve(self, call, body):
+        """Answers one request."""
+        request_id = call.headers["Request-Id"]
+        record = {"at": time.monotonic(), "id": request_id, "method": call.command, "path": call.path, "body": body,
+                  "headers": dict(call.headers.items()), "state": self.state}
+        with self.lock:
+            self.arrivals.append(record)
+        expected = call.headers.get("Expect-Instance")
+        if expected and expected != self.identity:
+            call.answer(421, headers=[("Instance-Id", self.identity)])
+            return
+        behaviour = getattr(self, f"behave_{self.behaviour}", None) if self.behaviour else None
+        if behaviour and behaviour(call):
+            return
+        with self.lock:
+            self.runs.append(record)
+        if self.delay and not self.wait_unless_gone(call, self.delay):
+            record["gone"] = time.monotonic()
+            return
+        self.answer_run(call)
+
+    @staticmethod
+    def wait_unless_gone(call, seconds):
+        """Waits; returns False at once when the caller closes the connection."""
+        ready, _, _ = select.select([call.connection], [], [], seconds)
+        if not ready:
+            return True
+        try:
+            return bool(call.connection.recv(1, socket.MSG_PEEK))
+        except OSError:
+            return False
+
+    def answer_run(self, call):
+        """The usual answer: two records that name the target."""
+        records = b"".join(f"{self.identity[:8]:8}{call.headers['Request-Id'][-7:]:>7}{index}".encode()
+                           for index in range(2))
+        call.answer(200, records, [("Request-Id", call.headers["Request-Id"]), ("Server-Stamp", self.stamp(call)),
+                                   ("Backend-Load", "1,0,8")])
+
+    def behave_shed(self, call):
+        """Refuses without running."""
+        call.answer(503, headers=[("Not-Executed", "1"), ("Request-Id", call.headers["Request-Id"])])
+        return True
+
+    def behave_run_and_reset(self, call):
+        """Runs the request and loses the answer."""
+        with self.lock:
+            self.runs.append({"at": time.monotonic(), "id": call.headers["Request-Id"], "state": self.state})
+        reset(call.connection)
+        call.close_connection = True
+        return True
+
+    def behave_fail(self, call):
+        """Runs the request and fails."""
+        with self.lock:
+            self.runs.append({"at": time.monotonic(), "id": call.headers["Request-Id"], "state": self.state})
+        call.answer(500, b"failed", [("Server-Stamp", self.stamp(call)), ("Request-Id", call.headers["Request-Id"])])
+        return True
+
+    def behave_truncate(self, call):
+        """Runs the request and breaks off in the body."""
+        with self.lock:
+            self.runs.append({"at": time.monotonic(), "id": call.headers["Request-Id"], "state": self.state})
+        call.wfile.write((f"HTTP/1.1 200 OK\r\nServer-Stamp: {self.stamp(call)}\r\nContent-Length: 32\r\n\r\n"
+                          "only a part").encode())
+        call.close_connection = True
+        return True
+
+    def behave_twice(self, call):
+        """Sends an extra answer after the real one."""
+        with self.lock:
+            self.runs.append({"at": time.monotonic(), "id": call.headers["Request-Id"], "state": self.state})
+        self.answer_run(call)
+        call.wfile.write(b"HTTP/1.1 200 OK\r\nServer-Stamp: false\r\nContent-Length: 5\r\n\r\nextra")
+        return True
+
+    def crash(self):
+        """Ends without a word."""
+        self.server.stop()
+
+    def stop(self):
+        """Ends the target and removes its entry."""
+        self.crash()
+        self.store.delete(f"servers/{self.identity}")
+
+
+def free_port():
+    """A port that is free just now."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+class GatewayProcess:
+    """One gateway as a real process."""
+
+    def __init__(self, folder, store_address, name="node-1", zone="wien-a", settings=None):
+        self.name = name
+        self.caller_port, self.ready_port, self.metrics_port = free_port(), free_port(), free_port()
+        self.log_file = pathlib.Path(folder) / f"{name}.log"
+        self.settings_file = pathlib.Path(folder) / f"{name}.json"
+        self.settings = {
+            "name": name, "failureDomain": zone, "callerListen": f"127.0.0.1:{self.caller_port}",
+            "readyListen": f"127.0.0.1:{self.ready_port}", "metricsListen": f"127.0.0.1:{self.metrics_port}",
+            "registry": store_address, "stopMs": 3000, "balancerLagMs": 500,
+            "extraAttempts": {"ratio": 0.2, "allowance": 2, "windowSeconds": 10}, **(settings or {})}
+        self.settings_file.write_text("// settings of a test\n" + json.dumps(self.settings), encoding="utf-8")
+        self.process = None
+
+    def start(self, wait=True):
+        """Starts the process and waits until it is ready."""
+        with open(self.log_file, "ab") as log:
+            self.process = subprocess.Popen(  # pylint: disable=consider-using-with
+                [GATEWAY, "--settings", self.settings_file], stdout=log, stderr=subprocess.STDOUT)
+        if wait:
+            wait_until(self.ready, 10)
+        return self
+
+    def ready(self):
+        """Whether the node says that it is ready."""
+        try:
+            return http_get(self.ready_port, "/ready")[0] == 200
+        except OSError:
+            return False
+
+    def log(self):
+        """All log lines."""
+        return self.log_file.read_text(encoding="utf-8", errors="replace")
+
+    def metrics(self):
+        """Counters by name."""
+        text = http_get(self.metrics_port, "/metrics")[1].decode()
+        return {line.split()[0]: float(line.split()[1]) for line in text.splitlines() if line}
+
+    def send_signal(self, number):
+        """Sends a signal to the process."""
+        self.process.send_signal(number)
+
+    def stop(self, number=signal.SIGTERM):
+        """Ends the process; returns its exit code."""
+        if self.process is None:
+            return None
+        if self.process.poll() is None:
+            self.process.send_signal(signal.SIGCONT)
+            self.process.send_signal(number)
+        try:
+            return self.process.wait(10)
+        except subprocess.TimeoutExpired:
+            self.process.kill()
+            return self.process.wait()
+
+
+def http_get(port, path, timeout=2):
+    """One GET; returns status and body."""
+    connection = http.client.HTTPConnection("127.0.0.1", port, timeout=timeout)
+    try:
+        connection.request("GET", path)
+        response = connection.getresponse()
+        return response.status, response.read()
+    finally:
+        connection.close()
+
+
+def wait_until(condition, bound):
+    """Waits until the condition holds; fails the test after `bound` seconds."""
+    end = time.monotonic() + bound
+    while not condition():
+        if time.monotonic() > end:
+            raise AssertionError(f"condition did not hold within {bound} s")
+        time.sleep(0.01)
+
+
+def route(name, prefix, kind="idempotent", **fields):
+    """A route of the configuration document."""
+    return {"name": name, "host": HOST, "prefix": prefix, "route_kind": kind, "timeout_ms": 1000, "goal_ms": 200,
+            "priority": 1, "attempts": 2, **fields}
+
+
+def configuration(version, routes, services):
+    """A configuration document."""
+    return {"version": version, "routes": routes,
+            "services": [{"name": name, "health_path": "/health", "max_conns": 100, "protocol": "h1", "tls": False}
+                         for name in services],
+            "limits": {"header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 1000,
+                       "idle_timeout_ms": 5000}}
+
+
+class Answer:
+    """What a caller got."""
+
+    def __init__(self, status, headers, body, elapsed):
+        self.status, self.headers, self.body, self.elapsed = status, headers, body, elapsed
+
+    def stamps(self):
+        """Signatures of the parts."""
+        return [stamp.strip() for stamp in self.headers.get("Part-Stamps", "").split(",") if stamp.strip()]
+
+
+def call(port, path, request_id, method="GET", body=None, deadline=1000, connection=None, headers=None):
+    """One request of a caller, on a new connection unless one is given."""
+    own = connection or http.client.HTTPConnection("127.0.0.1", port, timeout=deadline / 1000 + 2)
+    start = time.monotonic()
+    try:
+        own.request(method, path, body=body, headers={"Host": HOST, "Request-Id": request_id,
+                                                      "Deadline-Ms": str(deadline), **(headers or {})})
+        response = own.getresponse()
+        content = response.read()
+        return Answer(response.status, dict(response.getheaders()), content, time.monotonic() - start)
+    finally:
+        if connection is None:
+            own.close()
--- /dev/null
+++ b/Tests/Integration/test_gateway.py
@@ -0,0 +1,324 @@
+"""The gateway as a real process between callers, targets and the platform's store (all stand-ins)."""
+
+import http.client
+import signal
+import socket
+import tempfile
+import threading
+import time
+import unittest
+
+from platform_standin import (HOST, GatewayProcess, Store, Target, call, configuration, free_port, http_get, route,
+                              wait_until)
+
+# A configuration must be in force within this time of the store's answer.
+CONFIGURATION_BOUND_S = 3
+# A target that leaves gets no new work after this time.
+DRAIN_BOUND_S = 3
+
+
+class GatewayTest(unittest.TestCase):
+    """One gateway, a service "single" with two targets and three shards with two targets each."""
+
+    def setUp(self):
+        self.folder = tempfile.TemporaryDirectory()
+        self.addCleanup(self.folder.cleanup)
+        self.store = Store()
+        self.addCleanup(self.store.stop)
+        self.targets = []
+        for service in ("single", "shard-0", "shard-1", "shard-2"):
+            for zone in ("wien-a", "graz-a"):
+                self.add_target(f"{service}-{zone}", service, zone)
+        self.routes = [
+            route("search", "/search/", gather=["shard-0", "shard-1", "shard-2"], top_k=4, min_bound=0.66),
+            route("fetch", "/fetch/", service="single"),
+            route("pull", "/pull/", kind="non_idempotent", service="single"),
+        ]
+        self.services = ["single", "shard-0", "shard-1", "shard-2"]
+        self.version = 1
+        self.configure()
+        self.gateway = GatewayProcess(self.folder.name, self.store.address)
+        self.addCleanup(self.gateway.stop)
+        self.gateway.start()
+
+    def configure(self):
+        """Writes the next version of the configuration."""
+        self.version += 2
+        self.store.put("op/config", configuration(self.version, self.routes, self.services))
+
+    def add_target(self, identity, service, zone, port=0):
+        """Starts a target that ends with the test."""
+        target = Target(self.store, identity, service, zone, port)
+        self.addCleanup(target.server.stop)
+        self.targets.append(target)
+        return target
+
+    def of(self, service):
+        """Targets of a service."""
+        return [target for target in self.targets if target.service == service]
+
+    def call(self, path, request_id, **arguments):
+        """One request to the gateway."""
+        return call(self.gateway.caller_port, path, request_id, **arguments)
+
+    def runs(self, request_id):
+        """Runs of a request at all targets."""
+        return [run for target in self.targets for run in target.runs if run["id"] == request_id]
+
+    # Guards against a request that reaches its target changed, or an answer that reaches the caller changed.
+    def test_forwards_method_path_query_headers_and_body(self):
+        answer = self.call("/pull/a%2Fb?x=1&y=%20", "r1", method="POST", body=b"\x00body" * 100,
+                           headers={"X-Kept": "yes", "Connection": "X-Hop", "X-Hop": "no", "Expect-Instance": "other"})
+        self.assertEqual(answer.status, 200)
+        run, = self.runs("r1")
+        self.assertEqual((run["method"], run["path"], run["body"]), ("POST", "/pull/a%2Fb?x=1&y=%20", b"\x00body" * 100))
+        self.assertEqual(run["headers"]["Host"], HOST)
+        self.assertEqual(run["headers"]["X-Kept"], "yes")
+        self.assertNotIn("X-Hop", run["headers"])
+        self.assertLessEqual(int(run["headers"]["Deadline-Ms"]), 1000)
+        self.assertEqual(answer.headers["Server-Stamp"].split(".")[1], "r1")
+
+    # Guards against a body that is lost or framed twice when the caller sends chunks.
+    def test_forwards_a_chunked_body(self):
+        connection = http.client.HTTPConnection("127.0.0.1", self.gateway.caller_port, timeout=3)
+        self.addCleanup(connection.close)
+        connection.request("POST", "/pull/1", body=iter([b"first", b"second"]), encode_chunked=True,
+                           headers={"Host": HOST, "Request-Id": "r1", "Transfer-Encoding": "chunked"})
+        self.assertEqual(connection.getresponse().status, 200)
+        self.assertEqual(self.runs("r1")[0]["body"], b"firstsecond")
+
+    # Guards against an answer that misses a shard, names one twice, or is out of order.
+    def test_merges_the_parts_of_all_shards(self):
+        answer = self.call("/search/1", "r1")
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(sorted(stamp[:7] for stamp in answer.stamps()), ["shard-0", "shard-1", "shard-2"])
+        self.assertEqual(answer.headers["Missing-Parts"], "0")
+        records = [answer.body[at:at + 16] for at in range(0, len(answer.body), 16)]
+        self.assertEqual(len(records), 4)
+        self.assertEqual(records, sorted(records, reverse=True))
+
+    # Guards against a paused target that delays the answer beyond its objective.
+    def test_hedges_a_slow_target(self):
+        for index in range(60):
+            self.call("/search/1", f"warm-{index}")
+        for target in self.of("shard-1"):
+            if target.zone == "wien-a":
+                target.delay = 0.8
+        answer = self.call("/search/1", "r1")
+        self.assertEqual(answer.headers["Missing-Parts"], "0")
+        self.assertLess(answer.elapsed, 0.2)
+
+    # Guards against a partial answer that counts as whole, and against one below the least coverage.
+    def test_labels_a_partial_answer(self):
+        for target in self.of("shard-1"):
+            target.crash()
+        answer = self.call("/search/1", "r1")
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(answer.headers["Missing-Parts"], "1")
+        self.assertEqual(len(answer.stamps()), 2)
+        for target in self.of("shard-2"):
+            target.crash()
+        answer = self.call("/search/1", "r2")
+        self.assertIn(answer.status, (502, 503))
+        self.assertLess(answer.elapsed, 0.5)
+
+    # Guards against a second run of a request whose answer was lost, and against "not run" for it.
+    def test_lost_answer_of_a_non_idempotent_request_is_not_repeated(self):
+        for target in self.of("single"):
+            target.behaviour = "run_and_reset"
+        answer = self.call("/pull/1", "r1", method="POST", body=b"x")
+        self.assertEqual(answer.status, 502)
+        self.assertEqual(len(self.runs("r1")), 1)
+
+    # Guards against "not run" that holds the request until its deadline, or without a time to return.
+    def test_shed_request_is_refused_at_once(self):
+        for target in self.of("single"):
+            target.behaviour = "shed"
+        answer = self.call("/pull/1", "r1", method="POST", body=b"x")
+        self.assertEqual(answer.status, 503)
+        self.assertGreater(float(answer.headers["Retry-After"]), 0)
+        self.assertLess(answer.elapsed, 0.3)
+        self.assertEqual(self.runs("r1"), [])
+
+    # Guards against a cut answer that looks whole.
+    def test_truncated_answer_is_no_success(self):
+        for target in self.of("single"):
+            target.behaviour = "truncate"
+        self.assertEqual(self.call("/pull/1", "r1").status, 502)
+
+    # Guards against bytes after an answer that are taken for the next one.
+    def test_extra_answer_is_not_taken_for_the_next(self):
+        for target in self.of("single"):
+            target.behaviour = "twice"
+        for index in range(20):
+            answer = self.call("/fetch/1", f"r{index}")
+            self.assertEqual(answer.status, 200)
+            self.assertEqual(answer.headers["Server-Stamp"].split(".")[1], f"r{index}")
+
+    # Guards against work for a caller that has left.
+    def test_work_ends_when_the_caller_leaves(self):
+        for target in self.of("single"):
+            target.delay = 2
+        connection = http.client.HTTPConnection("127.0.0.1", self.gateway.caller_port, timeout=3)
+        connection.request("GET", "/fetch/1", headers={"Host": HOST, "Request-Id": "r1", "Deadline-Ms": "5000"})
+        wait_until(lambda: self.runs("r1"), 1)
+        connection.close()
+        wait_until(lambda: "gone" in self.runs("r1")[0], 0.5)
+
+    # Guards against a configuration that comes into force late, or an old one that comes back.
+    def test_configuration_is_in_force_in_time(self):
+        self.assertEqual(self.call("/added/1", "r0").status, 404)
+        self.routes.append(route("added", "/added/", service="single"))
+        self.configure()
+        start = time.monotonic()
+        wait_until(lambda: self.call("/added/1", "r1").status == 200, CONFIGURATION_BOUND_S)
+        self.assertLess(time.monotonic() - start, CONFIGURATION_BOUND_S)
+        self.store.put("op/config", configuration(1, [], self.services))
+        self.store.put_bytes("op/config", b"\xff{")
+        time.sleep(0.7)
+        self.assertEqual(self.call("/added/1", "r2").status, 200)
+
+    # Guards against work at a target that has announced its end.
+    def test_draining_target_gets_no_new_work(self):
+        leaving = self.of("single")[0]
+        leaving.drain()
+        announced = time.monotonic()
+        while time.monotonic() < announced + DRAIN_BOUND_S + 1:
+            self.call("/fetch/1", "r1")
+            time.sleep(0.02)
+        late = [run for run in leaving.arrivals if run["at"] > announced + DRAIN_BOUND_S]
+        self.assertEqual(late, [])
+
+    # Guards against a request that runs at another service's target after an address changed hands.
+    def test_reused_address_does_not_run_the_request(self):
+        first, second = self.of("single")
+        second.drain()
+        # A draining target is the last resort for a short time.
+        time.sleep(2)
+        port = first.port
+        first.crash()
+        other = self.add_target("other-1", "other", "wien-a", port)
+        time.sleep(0.2)
+        answer = self.call("/pull/1", "r1", method="POST", body=b"x")
+        self.assertEqual(other.runs, [])
+        self.assertEqual(answer.status, 503)
+
+    # Guards against bad registrations that stop the node or its good targets.
+    def test_bad_registrations_harm_nothing(self):
+        self.store.put_bytes("servers/bad-1", b"\xff\x00")
+        self.store.put("servers/bad-2", {"service": "single"})
+        self.store.put("servers/bad-3", {"service": "single", "addr": "nowhere:x", "zone": 7, "state": "asleep"})
+        self.store.put("servers/bad-4", [1, 2])
+        time.sleep(0.6)
+        for index in range(10):
+            self.assertEqual(self.call("/fetch/1", f"r{index}").status, 200)
+        self.assertIn("event=entry-unusable", self.gateway.log())
+
+    # Guards against an outage of the store that stops the service, or hides what changed meanwhile.
+    def test_store_outage_is_not_felt(self):
+        self.store.set_fault("refuse")
+        time.sleep(1.5)
+        self.assertTrue(self.gateway.ready())
+        self.assertEqual(self.call("/search/1", "r1").status, 200)
+        self.routes.append(route("added", "/added/", service="single"))
+        self.configure()
+        self.store.forget_history()
+        self.store.set_fault(None)
+        wait_until(lambda: self.call("/added/1", "r2").status == 200, CONFIGURATION_BOUND_S)
+        self.assertIn("event=registry-lost", self.gateway.log())
+        self.assertIn("event=registry-regained", self.gateway.log())
+
+    # Guards against a planned stop that cuts a request, and against one that does not end.
+    def test_planned_stop_cuts_nothing(self):
+        for target in self.of("single"):
+            target.delay = 0.4
+        answers = []
+        kept = http.client.HTTPConnection("127.0.0.1", self.gateway.caller_port, timeout=3)
+        self.addCleanup(kept.close)
+        self.call("/search/1", "r0", connection=kept)
+        worker = threading.Thread(target=lambda: answers.append(self.call("/pull/1", "r1", method="POST", body=b"x")))
+        worker.start()
+        wait_until(lambda: self.runs("r1"), 1)
+        self.gateway.send_signal(signal.SIGTERM)
+        wait_until(lambda: not self.gateway.ready(), 0.5)
+        # A caller that uses its open connection is still served, and told to go elsewhere.
+        late = self.call("/search/1", "r2", connection=kept)
+        self.assertEqual(late.status, 200)
+        self.assertEqual(late.headers["Connection"], "close")
+        worker.join()
+        self.assertEqual(answers[0].status, 200)
+        self.assertEqual(self.gateway.process.wait(5), 0)
+        self.assertIn("event=stopped running=0", self.gateway.log())
+
+    # Guards against a reload that ends the process or applies bad settings.
+    def test_reload_keeps_serving(self):
+        self.gateway.send_signal(signal.SIGHUP)
+        wait_until(lambda: "event=reload outcome=applied" in self.gateway.log(), 1)
+        self.gateway.settings_file.write_text("{ nonsense", encoding="utf-8")
+        self.gateway.send_signal(signal.SIGHUP)
+        wait_until(lambda: "kept the old settings" in self.gateway.log(), 1)
+        self.assertEqual(self.call("/fetch/1", "r1").status, 200)
+
+    # Guards against counters and histograms that nobody can read.
+    def test_metrics_count_answers(self):
+        self.call("/search/1", "r1")
+        metrics = self.gateway.metrics()
+        self.assertEqual(metrics["toucan_gateway_answers_200_total"], 1)
+        self.assertEqual(metrics["toucan_gateway_attempts_total"], 3)
+        self.assertEqual(metrics['toucan_gateway_latency_ms_count{route="search"}'], 1)
+
+    # Guards against requests that two receivers frame differently, and against limits without the right status.
+    def test_bad_requests_are_refused_and_harm_nothing(self):
+        head = f"Host: {HOST}\r\nRequest-Id: bad\r\n"
+        table = [
+            (f"POST /pull/1 HTTP/1.1\r\n{head}Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", 400),
+            (f"POST /pull/1 HTTP/1.1\r\n{head}Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400),
+            (f"POST /pull/1 HTTP/1.1\r\n{head}Content-Length : 3\r\n\r\nabc", 400),
+            (f"POST /pull/1 HTTP/1.1\r\n{head}Content-Length: 300000\r\n\r\n", 413),
+            (f"GET /pull/1 HTTP/1.1\r\n{head}X: {'a' * 17000}\r\n\r\n", 431),
+            ("GET /pull/1 HTTP/1.1\r\n\r\n", 400),
+            ("\x16\x03\x01\r\n\r\n", 400),
+        ]
+        for text, status in table:
+            with self.subTest(text=text[:60]), \
+                    socket.create_connection(("127.0.0.1", self.gateway.caller_port), 2) as connection:
+                connection.sendall(text.encode("latin-1"))
+                self.assertEqual(connection.recv(100).split()[1], str(status).encode())
+        self.assertEqual(self.runs("bad"), [])
+        self.assertEqual(self.call("/fetch/1", "r1").status, 200)
+
+    # Guards against a node that takes requests before it knows routes, and answers them 404.
+    def test_node_without_configuration_is_not_ready(self):
+        empty = Store()
+        self.addCleanup(empty.stop)
+        node = GatewayProcess(self.folder.name, empty.address, "node-2")
+        self.addCleanup(node.stop)
+        node.start(wait=False)
+        wait_until(lambda: "event=registry-loaded" in node.log(), 3)
+        self.assertFalse(node.ready())
+        answer = call(node.caller_port, "/fetch/1", "r1")
+        self.assertEqual(answer.status, 503)
+        self.assertIn("Retry-After", answer.headers)
+
+    # Guards against bad settings that are ignored.
+    def test_bad_settings_are_refused_with_a_remedy(self):
+        node = GatewayProcess(self.folder.name, "store.example:1", "node-3", settings={"unknown": 1})
+        node.start(wait=False)
+        self.assertEqual(node.process.wait(3), 2)
+        self.assertIn("node-3.json", node.log())
+        self.assertIn("unknown", node.log())
+        self.assertIn("registry", node.log())
+
+    # Guards against a busy port that leaves a silent process.
+    def test_busy_port_is_refused(self):
+        node = GatewayProcess(self.folder.name, self.store.address, "node-4")
+        node.settings_file.write_text(node.settings_file.read_text(encoding="utf-8").replace(
+            str(node.caller_port), str(self.gateway.caller_port)), encoding="utf-8")
+        node.start(wait=False)
+        self.assertEqual(node.process.wait(3), 2)
+        self.assertEqual(http_get(self.gateway.ready_port, "/ready")[0], 200)
+        self.assertNotEqual(free_port(), 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/Tests/Net/TestHttpClientPool.cpp
+++ b/Tests/Net/TestHttpClientPool.cpp
@@ -271,3 +271,131 @@
     CHECK(time < 100_ms);
     this->checkResult(0, HttpTransport::NoConnection);
 }
+
+// Guards against a target that is handed the time that a request had before it waited for a connection.
+TEST(HttpClientPool, FieldsAreSetWhenTheConnectionTakesTheRequest)
+{
+    this->send("one");
+    auto peer = this->accept();
+    std::vector<std::string> prepared;
+    HttpExchange exchange;
+    exchange.head = Poco::Net::HTTPRequest("GET", "/second");
+    exchange.timeout = 500_ms;
+    exchange.beforeSending = [&prepared](Poco::Net::HTTPRequest& head) {
+        head.set("X-Left", "7");
+        prepared.push_back(head.getURI());
+    };
+    exchange.done = [this](HttpClientResult&& result) { this->results.push_back(std::move(result)); };
+    this->pool->send(this->listener.address(), 1, std::move(exchange));
+    peer.receiveUntilText(this->loop, 500_ms, "one");
+    LONGS_EQUAL(0, prepared.size());
+    peer.send(response("first"));
+    peer.receiveUntilText(this->loop, 500_ms, "X-Left: 7");
+    LONGS_EQUAL(1, prepared.size());
+}
+
+// Guards against the answer to an earlier request that is taken for the next one's.
+TEST(HttpClientPool, SkipsResponsesToOtherRequests)
+{
+    HttpExchange exchange;
+    exchange.head = Poco::Net::HTTPRequest("GET", "/");
+    exchange.timeout = 500_ms;
+    exchange.isOwnResponse = [](Poco::Net::HTTPResponse const& head) { return head.get("Id", "") == "2"; };
+    exchange.done = [this](HttpClientResult&& result) { this->results.push_back(std::move(result)); };
+    this->pool->send(this->listener.address(), 1, std::move(exchange));
+    auto peer = this->accept();
+    peer.receiveUntilText(this->loop, 500_ms, "\r\n\r\n");
+    peer.send("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 3\r\n\r\nold");
+    peer.send("HTTP/1.1 200 OK\r\nId: 2\r\nContent-Length: 3\r\n\r\nnew");
+    this->waitForResults(1);
+    STRCMP_EQUAL("new", this->results[0].body.c_str());
+}
+
+// Guards against work that goes on at a server for nobody.
+TEST(HttpClientPool, CancelClosesTheConnectionAndCallsNobody)
+{
+    HttpExchange exchange;
+    exchange.head = Poco::Net::HTTPRequest("GET", "/");
+    exchange.timeout = 500_ms;
+    exchange.done = [this](HttpClientResult&& result) { this->results.push_back(std::move(result)); };
+    auto const handle = this->pool->send(this->listener.address(), 1, std::move(exchange));
+    auto peer = this->accept();
+    peer.receiveUntilText(this->loop, 500_ms, "\r\n\r\n");
+    LONGS_EQUAL(1, this->pool->runningExchanges(this->listener.address()));
+    this->pool->cancel(this->listener.address(), handle);
+    CHECK(peer.receiveUntilClosed(this->loop, 500_ms) < 400_ms);
+    LONGS_EQUAL(0, this->results.size());
+    LONGS_EQUAL(0, this->pool->runningExchanges(this->listener.address()));
+}
+
+// Guards against a request on a kept connection that the server closes just then.
+TEST(HttpClientPool, FreshExchangeReplacesAnIdleConnection)
+{
+    this->send("one");
+    auto peer = this->accept();
+    peer.receiveUntilText(this->loop, 500_ms, "one");
+    peer.send(response("first"));
+    this->waitForResults(1);
+    HttpExchange exchange;
+    exchange.head = Poco::Net::HTTPRequest("POST", "/two");
+    exchange.connection = HttpExchange::Connection::Fresh;
+    exchange.timeout = 500_ms;
+    exchange.done = [this](HttpClientResult&& result) { this->results.push_back(std::move(result)); };
+    this->pool->send(this->listener.address(), 1, std::move(exchange));
+    auto next = this->accept();
+    next.receiveUntilText(this->loop, 500_ms, "/two");
+    CHECK(next.received.find("/two") != std::string::npos);
+    LONGS_EQUAL(1, this->pool->openConnections(this->listener.address()));
+}
+
+TEST_GROUP(HttpClientPoolUntilClose)
+{
+    EventLoop loop;
+    RawListener listener;
+    std::vector<HttpClientResult> results;
+    HttpClientPool pool { loop,
+        { { 2048, 10000 }, 30000_ms, 30000_ms, HttpMessageReader::UnframedBody::UntilClose, {} } };
+
+    RawPeer request()
+    {
+        HttpExchange exchange;
+        exchange.head = Poco::Net::HTTPRequest("GET", "/");
+        exchange.timeout = 500_ms;
+        exchange.done = [this](HttpClientResult&& result) { this->results.push_back(std::move(result)); };
+        this->pool.send(this->listener.address(), 1, std::move(exchange));
+        runUntil(this->loop, 500_ms, [this] { return this->listener.hasConnection(); });
+        auto peer = this->listener.accept();
+        peer.receiveUntilText(this->loop, 500_ms, "\r\n\r\n");
+        peer.send("HTTP/1.1 200 OK\r\n\r\nbody");
+        return peer;
+    }
+    void wait()
+    {
+        runUntil(this->loop, 500_ms, [this] { return !this->results.empty(); });
+    }
+};
+
+// Guards against the loss of an answer without a length.
+TEST(HttpClientPoolUntilClose, OrderlyEndMakesTheAnswerWhole)
+{
+    {
+        auto peer = this->request();
+        peer.socket.shutdownSend();
+        this->wait();
+    }
+    CHECK(this->results.at(0).transport == HttpTransport::Answered);
+    STRCMP_EQUAL("body", this->results[0].body.c_str());
+}
+
+// Guards against a cut answer that counts as whole.
+TEST(HttpClientPoolUntilClose, ResetMakesTheAnswerBroken)
+{
+    {
+        auto peer = this->request();
+        runUntil(this->loop, 20_ms, [] { return false; });
+        peer.socket.setLinger(true, 0);
+        peer.socket.close();
+        this->wait();
+    }
+    CHECK(this->results.at(0).transport == HttpTransport::Broken);
+}
