Ask the store more often while a node knows nothing

Ruled out: the start of the process (ready 30 ms after the first answer of the store). Change: the longest retry delay is 200 ms until the registry was read once.

--- a/Libraries/Gateway/RegistrySync.cpp
+++ b/Libraries/Gateway/RegistrySync.cpp
@@ -9,6 +9,8 @@
 /// Refused calls are paid for too, and a node must notice the end of an outage well within the time in which a
 /// configuration must be in force.
 constexpr Milliseconds longestRetry { 1200 };
+/// A node that knows nothing serves nobody, so it asks more often.
+constexpr Milliseconds longestRetryUnloaded { 200 };
 /// Pause after changes, so that changes in quick succession share a call.
 constexpr Milliseconds changePause { 250 };
 /// Registrations that lapsed in an outage are back within 2 s of its end when the target lives.
@@ -105,7 +107,8 @@
 void RegistrySync::retryLater(void (RegistrySync::*call)())
 {
     auto const exponent = std::min(this->failures, 10U) - 1;
-    auto const delay = std::min(firstRetry * std::pow(2, exponent), longestRetry);
+    auto const longest = this->loaded ? longestRetry : longestRetryUnloaded;
+    auto const delay = std::min(firstRetry * std::pow(2, exponent), longest);
     // Jitter keeps the nodes from calling in step after an outage.
     auto const at = this->now() + delay * (0.7 + 0.6 * this->context.hooks.random());
     this->context.hooks.schedule(at, [this, call] { (this->*call)(); });
--- a/Tests/Gateway/TestRegistrySync.cpp
+++ b/Tests/Gateway/TestRegistrySync.cpp
@@ -98,6 +98,17 @@
     CHECK(logged("registry-regained"));
 }
 
+// Guards against a node that starts in an outage and serves nobody long after its end.
+TEST(RegistrySync, NodeThatKnowsNothingAsksOften)
+{
+    sync.start();
+    for (size_t count = 0; count < 8; ++count) {
+        LONGS_EQUAL(count + 1, lists.size());
+        lists.back()(failure());
+        fixture.advance(300_ms);
+    }
+}
+
 // Guards against a node that gives up its targets because their entries lapsed while the store was away.
 TEST(RegistrySync, LapsedEntriesAreKeptForAWhileAfterAnOutage)
 {
