Follow the registry through a few relays instead of one watch a node

On a fresh node that the store alone refuses, nothing is served.

Ruled out: cheaper stale reads by every node (may be seconds old, so a configuration could miss its bound), longer watches (a silent connection must be noticed in time).

Change: the nodes named as relays (the platform's seeds) watch the registry with a wait of 1 s and keep entries and recent changes; other nodes ask a relay, preferably in their failure domain, and turn to the registry themselves when no relay answers, its news are older than 1.7 s or it knows less. A node that the registry refuses at its start copies the entries from a relay.

--- a/Libraries/Configuration/SettingsValues.cpp
+++ b/Libraries/Configuration/SettingsValues.cpp
@@ -35,6 +35,21 @@
     return text;
 }
 
+std::vector<std::string> readAddresses(SettingsReader& reader, std::string const& key)
+{
+    std::vector<std::string> addresses;
+    if (!reader.has(key))
+        return addresses;
+    for (auto const& entry : reader.array(key)) {
+        if (entry.isString() && isAddress(entry.asString()))
+            addresses.push_back(entry.asString());
+        else
+            reader.report(key, "An entry is not an IP address with a port",
+                "Write addresses such as \"127.0.0.1:8101\"; host names are not resolved");
+    }
+    return addresses;
+}
+
 std::string readName(SettingsReader& reader, std::string const& key)
 {
     auto text = reader.requiredText(key);
--- a/Libraries/Gateway/Gateway.h
+++ b/Libraries/Gateway/Gateway.h
@@ -35,6 +35,7 @@
     /// Returns the running request, or null when it was answered at once.
     std::shared_ptr<GatewayRequest> handle(CallerRequest&& request, GatewayRequest::Answered answered);
 
+    std::string const& failureDomain() const { return this->options.failureDomain; }
     GatewayContext& shared() { return this->context; }
     size_t running() const { return this->context.running; }
 
--- /dev/null
+++ b/Libraries/Gateway/RegistryEvent.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "Gateway/RoutingConfiguration.h"
+#include "Gateway/TargetRegistration.h"
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace Toucan {
+
+/// A target registered itself or changed its registration.
+struct TargetPut {
+    TargetRegistration registration;
+};
+struct TargetRemoved {
+    std::string id;
+};
+struct ConfigurationPut {
+    RoutingConfiguration configuration;
+};
+/// An entry that cannot be used. `id` is the target that it would name, or empty.
+struct UnusableEntry {
+    std::string key;
+    std::string id;
+    std::string reason;
+};
+using RegistryChange = std::variant<TargetPut, TargetRemoved, ConfigurationPut, UnusableEntry>;
+
+/// One entry of the registry as of a revision.
+struct RegistryEvent {
+    uint64_t revision { 0 };
+    std::string key;
+    /// The entry as the registry wrote it; other nodes of the deployment read it with the same decoder.
+    std::string source;
+    RegistryChange change;
+};
+
+enum class RegistryStatus {
+    Ok,
+    /// The changes since the revision are no longer known; everything must be read again.
+    HistoryLost,
+    /// Refused, silent, or not readable.
+    Failed,
+};
+
+/// Content or changes, as of a revision of the registry.
+struct RegistryReply {
+    RegistryStatus status { RegistryStatus::Failed };
+    std::vector<RegistryEvent> events;
+    uint64_t revision { 0 };
+    /// Reason of a failure, for the log.
+    std::string reason;
+};
+
+} // namespace Toucan
--- a/Libraries/Gateway/RegistrySync.cpp
+++ b/Libraries/Gateway/RegistrySync.cpp
@@ -13,73 +13,177 @@
 constexpr Milliseconds longestRetryUnloaded { 200 };
 /// Pause after changes, so that changes in quick succession share a call.
 constexpr Milliseconds changePause { 250 };
+/// A connection that went silent must be noticed well within the time in which a configuration must be in force.
+constexpr Milliseconds watchTime { 4000 };
+/// Each answer of a relay's watch shows its followers that its news are fresh.
+constexpr Milliseconds relayWatchTime { 1000 };
+/// News older than this are not waited for: with the time of one question to the relay, the node turns to the
+/// registry early enough to have a configuration in force within 3 s.
+constexpr Milliseconds oldestNews { 1700 };
+/// Time in which a relay that failed is not asked again.
+constexpr Milliseconds relayBlock { 3000 };
 /// Registrations that lapsed in an outage are back within 2 s of its end when the target lives.
 constexpr Milliseconds lapsedEntryTime { 2200 };
 
-RegistrySync::RegistrySync(Gateway& gateway, Hooks hooks)
+RegistrySync::RegistrySync(Gateway& gateway, std::vector<std::string> relays, bool hasFollowers, Hooks hooks)
     : gateway(gateway)
     , context(gateway.shared())
+    , hasFollowers(hasFollowers)
     , hooks(std::move(hooks))
 {
+    for (auto& address : relays)
+        this->relays.push_back({ std::move(address), {}, {} });
 }
 
-void RegistrySync::start() { this->list(); }
+void RegistrySync::start() { this->list(this->relays.empty() ? Freshness::Latest : Freshness::Stale); }
 
-void RegistrySync::list()
+void RegistrySync::list(Freshness freshness)
 {
     this->context.metrics.count("registry_lists");
-    this->hooks.list([this](RegistryReply&& reply) { this->onListed(std::move(reply)); });
+    this->hooks.list(freshness, [this](RegistryReply&& reply) { this->onListed(std::move(reply)); });
+}
+
+RegistrySync::Relay* RegistrySync::chooseRelay()
+{
+    auto const now = this->now();
+    auto const& own = this->gateway.failureDomain();
+    Relay* chosen = nullptr;
+    double best = 0;
+    for (auto& relay : this->relays) {
+        if (relay.blockedUntil > now)
+            continue;
+        // A relay in the own failure domain is cheaper and fails together with this node.
+        auto const preference = (relay.failureDomain == own ? 2 : 0) + (relay.failureDomain.empty() ? 1 : 0)
+            + this->context.hooks.random();
+        if (!chosen || preference > best) {
+            chosen = &relay;
+            best = preference;
+        }
+    }
+    return chosen;
+}
+
+void RegistrySync::next()
+{
+    if (auto* const relay = this->chooseRelay())
+        this->follow(*relay);
+    else
+        this->watch();
 }
 
 void RegistrySync::watch()
 {
     this->context.metrics.count("registry_watches");
-    this->hooks.watch(this->revision, [this](RegistryReply&& reply) { this->onWatched(std::move(reply)); });
+    auto const wait = this->hasFollowers || !this->relays.empty() ? relayWatchTime : watchTime;
+    this->hooks.watch(this->revision, wait, [this](RegistryReply&& reply) { this->onWatched(std::move(reply)); });
+}
+
+void RegistrySync::follow(Relay& relay)
+{
+    this->hooks.follow(relay.address, this->revision,
+        [this, &relay](RelayedNews&& news) { this->onFollowed(relay, std::move(news)); });
+}
+
+void RegistrySync::copyFromRelay()
+{
+    auto* const relay = this->chooseRelay();
+    if (!relay) {
+        this->retryLater(&RegistrySync::listLatest);
+        return;
+    }
+    this->hooks.copy(relay->address, [this, relay](RelayedNews&& news) { this->onCopied(*relay, std::move(news)); });
 }
 
 void RegistrySync::onListed(RegistryReply&& reply)
 {
     if (reply.status != RegistryStatus::Ok) {
-        this->onFailure(reply, "list");
-        this->retryLater(&RegistrySync::list);
+        this->onFailure(reply.reason, "list");
+        if (this->loaded)
+            this->retryLater(&RegistrySync::listLatest);
+        else
+            this->copyFromRelay();
         return;
     }
+    this->heardAt = this->now();
     this->onConnected();
-    this->revision = reply.revision;
-    this->applyAll(std::move(reply.changes));
-    if (!this->loaded)
-        this->context.log.line("registry-loaded",
-            { { "revision", std::to_string(this->revision) },
-                { "targets", std::to_string(this->context.directory.size()) },
-                { "configuration", std::to_string(this->gateway.version()) } },
-            DecisionLog::Weight::Always);
-    this->loaded = true;
-    this->watch();
+    this->takeAll(std::move(reply.events), reply.revision);
+    this->next();
+}
+
+void RegistrySync::onCopied(Relay& relay, RelayedNews&& news)
+{
+    if (news.status != RegistryStatus::Ok) {
+        relay.blockedUntil = this->now() + relayBlock;
+        this->retryLater(&RegistrySync::listLatest);
+        return;
+    }
+    relay.failureDomain = news.failureDomain;
+    this->context.log.line("registry-copied",
+        { { "relay", relay.address }, { "revision", std::to_string(news.revision) },
+            { "age_ms", std::to_string(static_cast<int64_t>(news.age.value)) } });
+    this->takeAll(std::move(news.events), news.revision);
+    this->retryLater(&RegistrySync::watch);
 }
 
 void RegistrySync::onWatched(RegistryReply&& reply)
 {
     if (reply.status == RegistryStatus::HistoryLost) {
         this->context.log.line("registry-history-lost", { { "revision", std::to_string(this->revision) } });
-        this->list();
+        this->list(Freshness::Latest);
         return;
     }
     if (reply.status == RegistryStatus::Failed) {
-        this->onFailure(reply, "watch");
-        this->retryLater(&RegistrySync::watch);
+        this->onFailure(reply.reason, "watch");
+        this->retryLater(&RegistrySync::next);
         return;
     }
+    this->heardAt = this->now();
     this->onConnected();
-    this->revision = std::max(this->revision, reply.revision);
-    if (reply.changes.empty()) {
-        this->watch();
+    bool const changed = !reply.events.empty();
+    this->take(std::move(reply.events), reply.revision);
+    if (changed && this->relays.empty())
+        this->context.hooks.schedule(this->now() + changePause, [this] { this->next(); });
+    else
+        this->next();
+}
+
+void RegistrySync::onFollowed(Relay& relay, RelayedNews&& news)
+{
+    if (news.status == RegistryStatus::Ok && news.revision >= this->revision && news.age <= oldestNews) {
+        relay.failureDomain = news.failureDomain;
+        if (news.outageEnded)
+            this->returnedAt = this->now() - *news.outageEnded;
+        this->onConnected();
+        this->take(std::move(news.events), news.revision);
+        this->next();
+        return;
+    }
+    if (news.status == RegistryStatus::HistoryLost) {
+        // The relay has read everything anew, or knows less than this node.
+        relay.blockedUntil = this->now() + relayWatchTime;
+        this->list(Freshness::Latest);
         return;
     }
-    this->apply(std::move(reply.changes));
-    this->context.hooks.schedule(this->now() + changePause, [this] { this->watch(); });
+    this->context.metrics.count("relay_failures");
+    this->context.log.line("relay-left",
+        { { "relay", relay.address }, { "revision", std::to_string(this->revision) },
+            { "its_revision", std::to_string(news.revision) },
+            { "age_ms", std::to_string(static_cast<int64_t>(news.age.value)) },
+            { "why", news.status == RegistryStatus::Ok ? "its news are old" : news.reason } });
+    relay.blockedUntil = this->now() + relayBlock;
+    this->watch();
+}
+
+void RegistrySync::describe(RelayedNews& news) const
+{
+    auto const now = this->now();
+    news.age = now - this->heardAt;
+    news.failureDomain = this->gateway.failureDomain();
+    if (this->returnedAt && now - *this->returnedAt < lapsedEntryTime)
+        news.outageEnded = now - *this->returnedAt;
 }
 
-void RegistrySync::onFailure(RegistryReply const& reply, std::string_view call)
+void RegistrySync::onFailure(std::string const& reason, std::string_view call)
 {
     ++this->failures;
     this->context.metrics.count("registry_failures");
@@ -87,7 +191,7 @@
         return;
     this->connected = false;
     this->context.log.line("registry-lost",
-        { { "call", std::string(call) }, { "revision", std::to_string(this->revision) }, { "why", reply.reason } },
+        { { "call", std::string(call) }, { "revision", std::to_string(this->revision) }, { "why", reason } },
         DecisionLog::Weight::Always);
 }
 
@@ -106,7 +210,7 @@
 
 void RegistrySync::retryLater(void (RegistrySync::*call)())
 {
-    auto const exponent = std::min(this->failures, 10U) - 1;
+    auto const exponent = std::clamp(this->failures, 1U, 10U) - 1;
     auto const longest = this->loaded ? longestRetry : longestRetryUnloaded;
     auto const delay = std::min(firstRetry * std::pow(2, exponent), longest);
     // Jitter keeps the nodes from calling in step after an outage.
@@ -131,17 +235,20 @@
     this->context.log.line("entry-unusable", { { "key", entry.key }, { "why", entry.reason } });
 }
 
-void RegistrySync::apply(std::vector<RegistryChange>&& changes)
+void RegistrySync::take(std::vector<RegistryEvent>&& events, uint64_t revision)
 {
     auto const now = this->now();
-    for (auto& change : changes) {
-        if (auto* const put = std::get_if<TargetPut>(&change)) {
+    this->revision = std::max(this->revision, revision);
+    if (this->hasFollowers)
+        this->relayed.append(events, this->revision);
+    for (auto& event : events) {
+        if (auto* const put = std::get_if<TargetPut>(&event.change)) {
             this->context.directory.put(std::move(put->registration), now);
-        } else if (auto const* const removed = std::get_if<TargetRemoved>(&change)) {
+        } else if (auto const* const removed = std::get_if<TargetRemoved>(&event.change)) {
             this->context.directory.remove(removed->id, this->removal(), this->keepUntil());
-        } else if (auto* const configuration = std::get_if<ConfigurationPut>(&change)) {
+        } else if (auto* const configuration = std::get_if<ConfigurationPut>(&event.change)) {
             this->gateway.install(std::move(configuration->configuration));
-        } else if (auto const* const unusable = std::get_if<UnusableEntry>(&change)) {
+        } else if (auto const* const unusable = std::get_if<UnusableEntry>(&event.change)) {
             // An entry that cannot be read names no target any more.
             if (!unusable->id.empty())
                 this->context.directory.remove(unusable->id, TargetDirectory::Removal::AtOnce, now);
@@ -151,19 +258,28 @@
     this->scheduleExpiry();
 }
 
-void RegistrySync::applyAll(std::vector<RegistryChange>&& changes)
+void RegistrySync::takeAll(std::vector<RegistryEvent>&& events, uint64_t revision)
 {
+    this->revision = revision;
+    if (this->hasFollowers)
+        this->relayed.reset(events, revision);
     std::vector<TargetRegistration> registrations;
-    for (auto& change : changes) {
-        if (auto* const put = std::get_if<TargetPut>(&change))
+    for (auto& event : events) {
+        if (auto* const put = std::get_if<TargetPut>(&event.change))
             registrations.push_back(std::move(put->registration));
-        else if (auto* const configuration = std::get_if<ConfigurationPut>(&change))
+        else if (auto* const configuration = std::get_if<ConfigurationPut>(&event.change))
             this->gateway.install(std::move(configuration->configuration));
-        else if (auto const* const unusable = std::get_if<UnusableEntry>(&change))
+        else if (auto const* const unusable = std::get_if<UnusableEntry>(&event.change))
             this->logUnusable(*unusable);
     }
     this->context.directory.replaceAll(registrations, this->removal(), this->keepUntil(), this->now());
     this->scheduleExpiry();
+    if (!this->loaded)
+        this->context.log.line("registry-loaded",
+            { { "revision", std::to_string(revision) }, { "targets", std::to_string(this->context.directory.size()) },
+                { "configuration", std::to_string(this->gateway.version()) } },
+            DecisionLog::Weight::Always);
+    this->loaded = true;
 }
 
 void RegistrySync::scheduleExpiry()
--- a/Libraries/Gateway/RegistrySync.h
+++ b/Libraries/Gateway/RegistrySync.h
@@ -1,79 +1,75 @@
 #pragma once
 
 #include "Gateway/Gateway.h"
+#include "Gateway/RegistryEvent.h"
+#include "Gateway/RegistryRelay.h"
 
 #include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
-#include <variant>
 #include <vector>
 
 namespace Toucan {
 
-/// A registration that the registry holds under `id`.
-struct TargetPut {
-    TargetRegistration registration;
-};
-struct TargetRemoved {
-    std::string id;
-};
-struct ConfigurationPut {
-    RoutingConfiguration configuration;
-};
-/// An entry that cannot be used. `id` is the target that it would name, or empty.
-struct UnusableEntry {
-    std::string key;
-    std::string id;
-    std::string reason;
-};
-using RegistryChange = std::variant<TargetPut, TargetRemoved, ConfigurationPut, UnusableEntry>;
-
-enum class RegistryStatus {
-    Ok,
-    /// The registry no longer has the changes since the revision; everything must be read again.
-    HistoryLost,
-    /// Refused, silent, or not readable.
-    Failed,
-};
-
-/// Content or changes, as of a revision of the registry.
-struct RegistryReply {
-    RegistryStatus status { RegistryStatus::Failed };
-    std::vector<RegistryChange> changes;
-    uint64_t revision { 0 };
-    /// Reason of a failure, for the log.
-    std::string reason;
-};
-
 /// Keeps the gateway's configuration and targets in step with the platform's registry: reads everything once, then
-/// follows the changes. During an outage the gateway goes on with what it knows.
+/// follows the changes. Every call to the registry is paid for, so only a few nodes (the relays) watch it; the others
+/// follow a relay, and turn to the registry themselves as soon as no relay has fresh news. During an outage the
+/// gateway goes on with what it knows.
 class RegistrySync {
 public:
+    enum class Freshness {
+        Latest,
+        /// May be seconds old; cheaper.
+        Stale,
+    };
     struct Hooks {
         /// Reads the whole registry.
-        std::function<void(std::function<void(RegistryReply&&)>)> list;
-        /// Waits for changes after a revision; an empty reply when none came for a while.
-        std::function<void(uint64_t revision, std::function<void(RegistryReply&&)>)> watch;
+        std::function<void(Freshness, std::function<void(RegistryReply&&)>)> list;
+        /// Waits up to `wait` for changes after a revision; an empty reply when there are none.
+        std::function<void(uint64_t revision, Milliseconds wait, std::function<void(RegistryReply&&)>)> watch;
+        /// Asks a relay for changes after a revision; it answers when there are some, or after a moment.
+        std::function<void(std::string const& relay, uint64_t revision, std::function<void(RelayedNews&&)>)> follow;
+        /// Asks a relay for all entries.
+        std::function<void(std::string const& relay, std::function<void(RelayedNews&&)>)> copy;
     };
 
-    RegistrySync(Gateway& gateway, Hooks hooks);
+    /// `relays` are the addresses of the nodes that watch the registry; empty when this node watches it itself.
+    RegistrySync(Gateway& gateway, std::vector<std::string> relays, bool hasFollowers, Hooks hooks);
 
     void start();
     /// Whether the registry has been read completely once.
     bool isLoaded() const { return this->loaded; }
     bool isConnected() const { return this->connected; }
+    RegistryRelay& relay() { return this->relayed; }
+    /// Adds what followers need to know of this node's own contact with the registry.
+    void describe(RelayedNews& news) const;
 
 private:
-    void list();
+    struct Relay {
+        std::string address;
+        std::string failureDomain;
+        /// Not asked before this time, because it did not answer or knew less than this node.
+        Milliseconds blockedUntil;
+    };
+
+    void list(Freshness freshness);
+    void listLatest() { this->list(Freshness::Latest); }
+    void copyFromRelay();
+    /// Waits for changes, at a relay when one can be asked.
+    void next();
     void watch();
+    void follow(Relay& relay);
+    Relay* chooseRelay();
     void onListed(RegistryReply&& reply);
+    void onCopied(Relay& relay, RelayedNews&& news);
     void onWatched(RegistryReply&& reply);
-    void onFailure(RegistryReply const& reply, std::string_view call);
+    void onFollowed(Relay& relay, RelayedNews&& news);
+    void takeAll(std::vector<RegistryEvent>&& events, uint64_t revision);
+    void take(std::vector<RegistryEvent>&& events, uint64_t revision);
+    void onFailure(std::string const& reason, std::string_view call);
     void onConnected();
     void retryLater(void (RegistrySync::*call)());
-    void apply(std::vector<RegistryChange>&& changes);
-    void applyAll(std::vector<RegistryChange>&& changes);
     void logUnusable(UnusableEntry const& entry);
     void scheduleExpiry();
     TargetDirectory::Removal removal() const;
@@ -82,12 +78,17 @@
 
     Gateway& gateway;
     GatewayContext& context;
+    std::vector<Relay> relays;
+    bool hasFollowers;
     Hooks hooks;
+    RegistryRelay relayed;
     uint64_t revision { 0 };
     bool loaded { false };
     bool connected { false };
     uint32_t failures { 0 };
-    /// End of the last outage of the registry as this node saw it.
+    /// Last word from the registry itself.
+    Milliseconds heardAt;
+    /// End of the last outage of the registry as this node knows it.
     std::optional<Milliseconds> returnedAt;
 };
 
--- a/Libraries/GatewayNode/GatewayServer.cpp
+++ b/Libraries/GatewayNode/GatewayServer.cpp
@@ -39,8 +39,12 @@
                this->answerReadiness(session);
            },
               {}, {}, {} })
-    , registry(this->gateway, this->hooks.connectRegistry(this->loop, this->settings))
+    , relayClient(this->loop, this->hooks.decodeEntry)
+    , registry(this->gateway, this->isRelay() ? std::vector<std::string> {} : this->settings.relays, this->isRelay(),
+          this->createRegistryHooks())
 {
+    if (!this->settings.relayListen.empty())
+        this->relayServer = std::make_unique<RelayServer>(this->loop, this->settings.relayListen, this->registry);
     if (!this->settings.metricsListen.empty())
         this->metrics = std::make_unique<HttpServer>(this->loop, this->settings.metricsListen,
             HttpServer::Limits { {}, adminConnections },
@@ -70,6 +74,25 @@
     return gatewayHooks;
 }
 
+RegistrySync::Hooks GatewayServer::createRegistryHooks()
+{
+    auto registryHooks = this->hooks.connectRegistry(this->loop, this->settings);
+    registryHooks.follow
+        = [this](std::string const& relay, uint64_t revision, std::function<void(RelayedNews&&)> done) {
+              this->relayClient.follow(relay, revision, std::move(done));
+          };
+    registryHooks.copy = [this](std::string const& relay, std::function<void(RelayedNews&&)> done) {
+        this->relayClient.copy(relay, std::move(done));
+    };
+    return registryHooks;
+}
+
+bool GatewayServer::isRelay() const
+{
+    auto const& relays = this->settings.relays;
+    return std::find(relays.begin(), relays.end(), this->settings.relayListen) != relays.end();
+}
+
 HttpServer::Limits GatewayServer::callerLimits() const
 {
     auto const limits = this->gateway.callerLimits();
--- a/Libraries/GatewayNode/GatewayServer.h
+++ b/Libraries/GatewayNode/GatewayServer.h
@@ -3,6 +3,8 @@
 #include "Gateway/Gateway.h"
 #include "Gateway/RegistrySync.h"
 #include "GatewayNode/GatewaySettings.h"
+#include "GatewayNode/RelayClient.h"
+#include "GatewayNode/RelayServer.h"
 #include "Net/EventLoop.h"
 #include "Net/HttpClientPool.h"
 #include "Net/HttpServer.h"
@@ -20,8 +22,10 @@
 class GatewayServer {
 public:
     struct Hooks {
-        /// Makes the registry's hooks; the loop outlives them.
+        /// Makes the hooks that ask the registry (list and watch); the loop outlives them.
         std::function<RegistrySync::Hooks(EventLoop&, GatewaySettings const&)> connectRegistry;
+        /// Reads entries that other nodes pass on.
+        RegistryDecoder decodeEntry;
         GatewayHeaders headers;
         /// Reads the settings again after reload().
         std::function<GatewaySettings()> readSettings;
@@ -47,6 +51,8 @@
 
 private:
     GatewayHooks createGatewayHooks();
+    RegistrySync::Hooks createRegistryHooks();
+    bool isRelay() const;
     HttpServerSession::Hooks createCallerHooks();
     HttpServer::Limits callerLimits() const;
     Canceller sendAttempt(AttemptMessage&& message, std::function<void(AttemptReply&&)> done);
@@ -72,7 +78,9 @@
     HttpServer callers;
     HttpServer readiness;
     std::unique_ptr<HttpServer> metrics;
+    RelayClient relayClient;
     RegistrySync registry;
+    std::unique_ptr<RelayServer> relayServer;
     std::unordered_map<HttpServerSession*, std::shared_ptr<GatewayRequest>> requestsBySession;
     std::atomic<bool> stopRequested { false };
     std::atomic<bool> reloadRequested { false };
--- a/Libraries/GatewayNode/GatewaySettings.cpp
+++ b/Libraries/GatewayNode/GatewaySettings.cpp
@@ -32,6 +32,9 @@
     if (reader.has("metricsListen"))
         settings.metricsListen = readAddress(reader, "metricsListen");
     settings.registry = readAddress(reader, "registry");
+    if (reader.has("relayListen"))
+        settings.relayListen = readAddress(reader, "relayListen");
+    settings.relays = readAddresses(reader, "relays");
     auto const milliseconds = [&reader](char const* key, Milliseconds byDefault) {
         auto const value = reader.integer(key, static_cast<uint64_t>(byDefault.value), { 0, longestStopMs });
         return Milliseconds { static_cast<double>(value) };
--- a/Libraries/GatewayNode/GatewaySettings.h
+++ b/Libraries/GatewayNode/GatewaySettings.h
@@ -16,6 +16,11 @@
     /// Empty for no metrics.
     std::string metricsListen;
     std::string registry;
+    /// Where other nodes ask this one for news of the registry; empty when none may.
+    std::string relayListen;
+    /// Addresses of the nodes that watch the registry for the others. A node that finds its own relayListen here is
+    /// one of them. Empty: every node watches the registry itself.
+    std::vector<std::string> relays;
     /// Time from the stop signal to the exit at the latest.
     Milliseconds stopTime { 5500 };
     /// Time after which a balancer has taken a node that is not ready out of rotation.
--- /dev/null
+++ b/Libraries/GatewayNode/RelayClient.cpp
@@ -0,0 +1,67 @@
+#include "GatewayNode/RelayClient.h"
+
+#include "GatewayNode/RelayServer.h"
+
+namespace Toucan {
+
+using Poco::Net::HTTPResponse;
+
+/// Time beyond the relay's own wait in which its answer must come.
+constexpr Milliseconds answerMargin { 500 };
+constexpr Milliseconds connectTimeout { 400 };
+constexpr size_t largestAnswer = 16777216;
+
+RelayClient::RelayClient(EventLoop& loop, RegistryDecoder decode)
+    : decode(std::move(decode))
+    , pool(loop, { { 16384, largestAnswer }, Milliseconds { 30000 }, connectTimeout, {}, {} })
+{
+}
+
+void RelayClient::follow(std::string const& relay, uint64_t revision, std::function<void(RelayedNews&&)> done)
+{
+    this->call(relay, std::string(RelayServer::changesPath) + "?after=" + std::to_string(revision), std::move(done));
+}
+
+void RelayClient::copy(std::string const& relay, std::function<void(RelayedNews&&)> done)
+{
+    this->call(relay, RelayServer::entriesPath, std::move(done));
+}
+
+static std::string describe(HttpClientResult const& result)
+{
+    switch (result.transport) {
+    case HttpTransport::Answered:
+        return "status " + std::to_string(static_cast<int>(result.head.getStatus()));
+    case HttpTransport::TimedOut:
+        return "no answer in time";
+    default:
+        return "no connection";
+    }
+}
+
+void RelayClient::call(std::string const& relay, std::string const& target, std::function<void(RelayedNews&&)> done)
+{
+    HttpExchange exchange;
+    exchange.head = Poco::Net::HTTPRequest("GET", target, Poco::Net::HTTPMessage::HTTP_1_1);
+    exchange.repeat = HttpExchange::Repeat::Allowed;
+    exchange.timeout = RelayServer::longestWait + answerMargin;
+    exchange.done = [this, done = std::move(done)](HttpClientResult&& result) {
+        RelayedNews news;
+        bool const answered = result.transport == HttpTransport::Answered;
+        if (answered && result.head.getStatus() == HTTPResponse::HTTP_GONE) {
+            news.status = RegistryStatus::HistoryLost;
+        } else if (!answered || result.head.getStatus() != HTTPResponse::HTTP_OK) {
+            news.reason = describe(result);
+        } else {
+            try {
+                news = readRelayedNews(result.body, this->decode);
+            } catch (std::exception const& error) {
+                news.reason = error.what();
+            }
+        }
+        done(std::move(news));
+    };
+    this->pool.send(relay, 1, std::move(exchange));
+}
+
+} // namespace Toucan
--- /dev/null
+++ b/Libraries/GatewayNode/RelayCodec.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "Gateway/RegistryRelay.h"
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace Toucan {
+
+/// Reads an entry as the registry wrote it; empty when it concerns the gateway in no way.
+using RegistryDecoder = std::function<std::optional<RegistryEvent>(std::string const& source)>;
+
+/// JSON body that one node sends another: {"revision", "ageMs", "outageEndedMs", "failureDomain", "entries": [text]}.
+std::string writeRelayedNews(RelayedNews const& news);
+
+/// Throws Error of kind InvalidInput when the body cannot be read.
+RelayedNews readRelayedNews(std::string_view body, RegistryDecoder const& decode);
+
+} // namespace Toucan
--- a/Tests/Gateway/TestRegistrySync.cpp
+++ b/Tests/Gateway/TestRegistrySync.cpp
@@ -10,18 +10,59 @@
     GatewayFixture fixture;
     std::vector<std::function<void(RegistryReply&&)>> lists;
     std::vector<std::pair<uint64_t, std::function<void(RegistryReply&&)>>> watches;
-    RegistrySync sync { fixture.gateway,
-        { [this](std::function<void(RegistryReply&&)> done) { this->lists.push_back(std::move(done)); },
-            [this](uint64_t revision, std::function<void(RegistryReply&&)> done) {
-                this->watches.emplace_back(revision, std::move(done));
-            } } };
+    std::vector<std::pair<std::string, std::function<void(RelayedNews&&)>>> follows;
+    std::vector<std::function<void(RelayedNews&&)>> copies;
+    RegistrySync sync { fixture.gateway, {}, false, hooks() };
+    RegistrySync follower { fixture.gateway, { "relay-1", "relay-2" }, false, hooks() };
 
+    RegistrySync::Hooks hooks()
+    {
+        RegistrySync::Hooks result;
+        result.list = [this](RegistrySync::Freshness, std::function<void(RegistryReply&&)> done) {
+            this->lists.push_back(std::move(done));
+        };
+        result.watch = [this](uint64_t revision, Milliseconds, std::function<void(RegistryReply&&)> done) {
+            this->watches.emplace_back(revision, std::move(done));
+        };
+        result.follow
+            = [this](std::string const& relay, uint64_t, std::function<void(RelayedNews&&)> done) {
+                  this->follows.emplace_back(relay, std::move(done));
+              };
+        result.copy = [this](std::string const&, std::function<void(RelayedNews&&)> done) {
+            this->copies.push_back(std::move(done));
+        };
+        return result;
+    }
+
+    static std::vector<RegistryEvent> events(uint64_t revision, std::vector<RegistryChange> changes)
+    {
+        std::vector<RegistryEvent> result;
+        for (auto& change : changes)
+            result.push_back({ revision, "key-" + std::to_string(result.size()), "source", std::move(change) });
+        return result;
+    }
     static RegistryReply reply(uint64_t revision, std::vector<RegistryChange> changes)
     {
         RegistryReply result;
         result.status = RegistryStatus::Ok;
         result.revision = revision;
-        result.changes = std::move(changes);
+        result.events = events(revision, std::move(changes));
+        return result;
+    }
+    static RelayedNews news(uint64_t revision, std::vector<RegistryChange> changes, Milliseconds age = {})
+    {
+        RelayedNews result;
+        result.status = RegistryStatus::Ok;
+        result.revision = revision;
+        result.events = events(revision, std::move(changes));
+        result.age = age;
+        result.failureDomain = "wien-a";
+        return result;
+    }
+    static RelayedNews noNews(RegistryStatus status)
+    {
+        RelayedNews result;
+        result.status = status;
         return result;
     }
     static RegistryReply failure(RegistryStatus status = RegistryStatus::Failed)
@@ -144,3 +185,126 @@
     LONGS_EQUAL(2, targets());
     CHECK(logged("entry-unusable"));
 }
+
+// Guards against a call to the registry from every node for every change.
+TEST(RegistrySync, FollowerAsksARelay)
+{
+    follower.start();
+    lists[0](reply(5, { target("t1"), configuration(3) }));
+    LONGS_EQUAL(0, watches.size());
+    LONGS_EQUAL(1, follows.size());
+    follows[0].second(news(7, { configuration(4) }));
+    LONGS_EQUAL(4, fixture.gateway.version());
+    LONGS_EQUAL(2, follows.size());
+    // Its failure domain is known and the same, so it is preferred from now on.
+    STRCMP_EQUAL(follows[0].first.c_str(), follows[1].first.c_str());
+}
+
+// Guards against a follower whose relay is cut off from the registry.
+TEST(RegistrySync, OldNewsSendTheFollowerToTheRegistry)
+{
+    follower.start();
+    lists[0](reply(5, { configuration(3) }));
+    follows[0].second(news(5, {}, 2000_ms));
+    LONGS_EQUAL(1, watches.size());
+    LONGS_EQUAL(5, watches[0].first);
+    CHECK(logged("relay-left"));
+    watches[0].second(reply(6, { configuration(4) }));
+    LONGS_EQUAL(4, fixture.gateway.version());
+    LONGS_EQUAL(2, follows.size());
+    CHECK(follows[0].first != follows[1].first);
+    // With no relay left the registry is asked.
+    follows[1].second(noNews(RegistryStatus::Failed));
+    watches[1].second(reply(6, {}));
+    LONGS_EQUAL(3, watches.size());
+    LONGS_EQUAL(2, follows.size());
+}
+
+// Guards against a follower that takes a relay's older knowledge for news.
+TEST(RegistrySync, RelayThatKnowsLessIsLeft)
+{
+    follower.start();
+    lists[0](reply(9, { configuration(3) }));
+    follows[0].second(news(5, { configuration(2) }));
+    LONGS_EQUAL(3, fixture.gateway.version());
+    LONGS_EQUAL(1, watches.size());
+    follower.start();
+    lists[1](reply(9, {}));
+    follows.back().second(noNews(RegistryStatus::HistoryLost));
+    LONGS_EQUAL(3, lists.size());
+}
+
+// Guards against a fresh node that serves nobody because the registry refuses this node alone.
+TEST(RegistrySync, FreshNodeCopiesFromARelayInAnOutage)
+{
+    follower.start();
+    lists[0](failure());
+    LONGS_EQUAL(1, copies.size());
+    copies[0](news(5, { target("t1"), configuration(3) }));
+    CHECK(follower.isLoaded());
+    LONGS_EQUAL(3, fixture.gateway.version());
+    LONGS_EQUAL(1, targets());
+    fixture.advance(200_ms);
+    watches.at(0).second(failure());
+    fixture.advance(300_ms);
+    LONGS_EQUAL(1, follows.size());
+}
+
+// Guards against followers that drop targets whose entries lapsed in an outage that only the relay saw.
+TEST(RegistrySync, OutageIsPassedOn)
+{
+    follower.start();
+    lists[0](reply(5, { target("t1"), target("t2") }));
+    auto after = news(8, { TargetRemoved { "t1" } });
+    after.outageEnded = 300_ms;
+    follows[0].second(std::move(after));
+    LONGS_EQUAL(2, targets());
+    fixture.advance(3000_ms);
+    LONGS_EQUAL(1, targets());
+}
+
+TEST_GROUP(RegistryRelay)
+{
+    RegistryRelay relay;
+
+    static std::vector<RegistryEvent> put(uint64_t revision, std::string const& key)
+    {
+        TargetRegistration registration;
+        registration.id = key;
+        return { { revision, key, "source of " + key, TargetPut { registration } } };
+    }
+};
+
+// Guards against a gap in what followers are told.
+TEST(RegistryRelay, TellsChangesSinceARevisionOrThatTheyAreLost)
+{
+    CHECK(relay.changesAfter(0).status == RegistryStatus::HistoryLost);
+    CHECK(relay.snapshot().status == RegistryStatus::Failed);
+    relay.reset(put(4, "a"), 10);
+    CHECK(relay.changesAfter(9).status == RegistryStatus::HistoryLost);
+    CHECK(relay.changesAfter(10).events.empty());
+    relay.append(put(11, "b"), 12);
+    relay.append(put(11, "b"), 12);
+    LONGS_EQUAL(1, relay.changesAfter(10).events.size());
+    LONGS_EQUAL(12, relay.changesAfter(10).revision);
+    LONGS_EQUAL(0, relay.changesAfter(11).events.size());
+    std::vector<RegistryEvent> const removal { { 13, "a", "gone", TargetRemoved { "a" } } };
+    relay.append(removal, 13);
+    LONGS_EQUAL(1, relay.snapshot().events.size());
+    STRCMP_EQUAL("b", relay.snapshot().events[0].key.c_str());
+}
+
+// Guards against followers that wait although there is news, or are called twice.
+TEST(RegistryRelay, WakesWaitersOnce)
+{
+    relay.reset({}, 10);
+    int calls = 0;
+    relay.wait([&calls] { ++calls; });
+    auto const forgotten = relay.wait([&calls] { calls += 100; });
+    relay.forget(forgotten);
+    relay.append({}, 11);
+    LONGS_EQUAL(0, calls);
+    relay.append(put(12, "a"), 12);
+    relay.append(put(13, "b"), 13);
+    LONGS_EQUAL(1, calls);
+}
