Close idle connections to targets after 4 s

Ruled out: the share of 5 connections a node (more than one is opened only for requests at the same time). Change: the idle time is 4 s.

--- a/Libraries/GatewayNode/GatewayServer.cpp
+++ b/Libraries/GatewayNode/GatewayServer.cpp
@@ -12,7 +12,9 @@
 
 /// A connection that takes longer is not worth waiting for: another target answers sooner.
 constexpr Milliseconds targetConnectTimeout { 250 };
-constexpr Milliseconds targetIdleTimeout { 20000 };
+/// Kept connections count against the target's limit, which many nodes share; a node seldom needs an idle one again
+/// after this time.
+constexpr Milliseconds targetIdleTimeout { 4000 };
 /// Largest answer of a target that is buffered.
 constexpr size_t targetBodyBytes = 4194304;
 /// Most callers' connections; each costs a descriptor and some KB.
