Raise the handicap of targets in other failure domains to 10 ms

Ruled out: header bytes (a request is about 200 B, an answer 400 to 1300 B). Change: remotePenalty 10 ms in place of 4 ms.

--- a/Libraries/Gateway/GatewayTarget.cpp
+++ b/Libraries/Gateway/GatewayTarget.cpp
@@ -16,7 +16,7 @@
 /// Work at a cold target takes up to this much longer than usual.
 constexpr double coldFactor = 1.6;
 /// Round trip between failure domains plus a handicap, because bytes between them are paid for.
-constexpr Milliseconds remotePenalty { 4 };
+constexpr Milliseconds remotePenalty { 10 };
 /// A request that is unanswered for this many times the usual latency suggests that the target stands still.
 constexpr double stalledRatio = 2.5;
 constexpr Milliseconds leastStall { 12 };
