--- a/Libraries/Gateway/GatewayTarget.cpp
+++ b/Libraries/Gateway/GatewayTarget.cpp
@@ -15,8 +15,11 @@
 constexpr Milliseconds failureFade { 2500 };
 /// Work at a cold target takes up to this much longer than usual.
 constexpr double coldFactor = 1.6;
-/// Round trip between failure domains plus a handicap, because bytes between them are paid for.
-constexpr Milliseconds remotePenalty { 10 };
+/// Handicap of targets in other failure domains, because bytes between them are paid for: a share of the usual latency
+/// within bounds. It covers the longer way as well.
+constexpr double remotePenaltyRatio = 0.7;
+constexpr Milliseconds leastRemotePenalty { 4 };
+constexpr Milliseconds mostRemotePenalty { 25 };
 /// A request that is unanswered for this many times the usual latency suggests that the target stands still.
 constexpr double stalledRatio = 2.5;
 constexpr Milliseconds leastStall { 12 };
@@ -119,7 +122,7 @@
             expected += stallPenalty;
     }
     if (!this->sameFailureDomain)
-        expected += remotePenalty;
+        expected += std::clamp(typical * remotePenaltyRatio, leastRemotePenalty, mostRemotePenalty);
     return expected;
 }
 
