--- a/Libraries/Gateway/GatewayContext.h
+++ b/Libraries/Gateway/GatewayContext.h
@@ -18,6 +18,8 @@
     std::function<Canceller(AttemptMessage&&, std::function<void(AttemptReply&&)> done)> send;
     std::function<Canceller(Milliseconds at, std::function<void()>)> schedule;
     std::function<Milliseconds()> now;
+    /// This node's part of the connections that a target accepts.
+    std::function<uint32_t(uint32_t limit)> connectionShare;
     /// Closes kept connections to an address whose connections went silent.
     std::function<void(std::string const& address)> closeIdle;
     /// Numbers in [0, 1).
--- a/Libraries/Gateway/GatewayRequest.cpp
+++ b/Libraries/Gateway/GatewayRequest.cpp
@@ -105,7 +105,8 @@
     for (auto const& attempt : part.attempts)
         tried.push_back(attempt.target);
     auto const typical = this->context.latencies.typical(this->route, now);
-    auto const target = this->context.selector.choose(targets, tried, typical, now);
+    auto const connections = this->context.hooks.connectionShare(this->table->connectionLimit(part.service));
+    auto const target = this->context.selector.choose(targets, tried, { typical, connections }, now);
     if (!target) {
         part.retryAt = TargetSelector::nextAvailable(targets, now);
         return false;
@@ -127,7 +128,7 @@
     }
     AttemptMessage message;
     message.address = target->registration().address;
-    message.connections = this->table->connectionLimit(part.service);
+    message.connections = connections;
     message.head = this->createHead(*target);
     message.body = this->body;
     // The request's own timer comes first, so that it decides between a partial answer and a timeout.
--- a/Libraries/Gateway/GatewayTarget.cpp
+++ b/Libraries/Gateway/GatewayTarget.cpp
@@ -102,13 +102,16 @@
     this->loadAt = now;
 }
 
-Milliseconds GatewayTarget::expectedLatency(Milliseconds typical, Milliseconds now) const
+Milliseconds GatewayTarget::expectedLatency(Demand const& demand, Milliseconds now) const
 {
+    auto const typical = demand.typical;
     auto expected = typical * this->slowness(now);
     if (this->warmUntil > now)
         expected = expected * coldFactor;
     double const slots = std::max(this->entry.slots, 1U);
-    double waiting = std::max(0.0, static_cast<double>(this->starts.size()) + 1 - slots);
+    // Requests of this node wait for a slot, or for one of its own connections.
+    double const lanes = std::min(slots, static_cast<double>(demand.connections));
+    double waiting = std::max(0.0, static_cast<double>(this->starts.size()) + 1 - lanes) * slots / lanes;
     if (this->loadAt && now - *this->loadAt < loadFresh) {
         // The load of other callers, as it was when the target answered, fades with its age.
         auto const weight = 1 - (now - *this->loadAt).value / loadFresh.value;
--- a/Libraries/Gateway/GatewayTarget.h
+++ b/Libraries/Gateway/GatewayTarget.h
@@ -30,6 +30,14 @@
         Abandoned,
     };
 
+    /// What a request asks of a target.
+    struct Demand {
+        /// Usual latency of such requests.
+        Milliseconds typical;
+        /// Connections that this node may open to one target.
+        uint32_t connections { 1 };
+    };
+
     GatewayTarget(TargetRegistration registration, bool sameFailureDomain, Milliseconds now);
 
     TargetRegistration const& registration() const { return this->entry; }
@@ -52,9 +60,9 @@
     bool isBlocked(Milliseconds now) const { return this->blockedUntil > now; }
     Milliseconds blockEnd() const { return this->blockedUntil; }
     size_t running() const { return this->starts.size(); }
-    /// Expected latency of a request with the usual latency `typical`, with penalties for distance, failures, queues
-    /// and requests that have been unanswered for long. Lower is better.
-    Milliseconds expectedLatency(Milliseconds typical, Milliseconds now) const;
+    /// Expected latency of a request, with penalties for distance, failures, queues and requests that have been
+    /// unanswered for long. Lower is better.
+    Milliseconds expectedLatency(Demand const& demand, Milliseconds now) const;
     /// Ratio of observed to usual latency.
     double slowness(Milliseconds now) const;
     double failureShare(Milliseconds now) const;
--- a/Libraries/Gateway/RegistryRelay.h
+++ b/Libraries/Gateway/RegistryRelay.h
@@ -25,6 +25,8 @@
     /// Time since the end of an outage of the registry, while that is recent.
     std::optional<Milliseconds> outageEnded;
     std::string failureDomain;
+    /// Nodes that follow the teller.
+    uint32_t followers { 0 };
     std::string reason;
 };
 
--- a/Libraries/Gateway/RegistrySync.cpp
+++ b/Libraries/Gateway/RegistrySync.cpp
@@ -25,14 +25,27 @@
 /// Registrations that lapsed in an outage are back within 2 s of its end when the target lives.
 constexpr Milliseconds lapsedEntryTime { 2200 };
 
-RegistrySync::RegistrySync(Gateway& gateway, std::vector<std::string> relays, bool hasFollowers, Hooks hooks)
+RegistrySync::RegistrySync(Gateway& gateway, Topology topology, Hooks hooks)
     : gateway(gateway)
     , context(gateway.shared())
-    , hasFollowers(hasFollowers)
+    , hasFollowers(topology.isRelay)
+    , relayCount(topology.relays.size())
     , hooks(std::move(hooks))
 {
-    for (auto& address : relays)
-        this->relays.push_back({ std::move(address), {}, {} });
+    if (topology.isRelay)
+        return;
+    for (auto& address : topology.relays)
+        this->relays.push_back({ std::move(address), {}, {}, 0 });
+}
+
+uint32_t RegistrySync::estimatedNodes() const
+{
+    if (this->relayCount == 0)
+        return 0;
+    auto most = this->followers;
+    for (auto const& relay : this->relays)
+        most = std::max(most, relay.followers);
+    return static_cast<uint32_t>(this->relayCount) * (most + 1);
 }
 
 void RegistrySync::start() { this->list(this->relays.empty() ? Freshness::Latest : Freshness::Stale); }
@@ -151,6 +164,7 @@
 {
     if (news.status == RegistryStatus::Ok && news.revision >= this->revision && news.age <= oldestNews) {
         relay.failureDomain = news.failureDomain;
+        relay.followers = news.followers;
         if (news.outageEnded)
             this->returnedAt = this->now() - *news.outageEnded;
         this->onConnected();
@@ -179,6 +193,7 @@
     auto const now = this->now();
     news.age = now - this->heardAt;
     news.failureDomain = this->gateway.failureDomain();
+    news.followers = this->followers;
     if (this->returnedAt && now - *this->returnedAt < lapsedEntryTime)
         news.outageEnded = now - *this->returnedAt;
 }
--- a/Libraries/Gateway/RegistrySync.h
+++ b/Libraries/Gateway/RegistrySync.h
@@ -34,14 +34,24 @@
         std::function<void(std::string const& relay, std::function<void(RelayedNews&&)>)> copy;
     };
 
-    /// `relays` are the addresses of the nodes that watch the registry; empty when this node watches it itself.
-    RegistrySync(Gateway& gateway, std::vector<std::string> relays, bool hasFollowers, Hooks hooks);
+    struct Topology {
+        /// Addresses of the nodes that watch the registry for the others.
+        std::vector<std::string> relays;
+        /// Whether this node is one of them.
+        bool isRelay { false };
+    };
+
+    RegistrySync(Gateway& gateway, Topology topology, Hooks hooks);
 
     void start();
     /// Whether the registry has been read completely once.
     bool isLoaded() const { return this->loaded; }
     bool isConnected() const { return this->connected; }
     RegistryRelay& relay() { return this->relayed; }
+    /// Nodes of the deployment as far as the relays show: every relay is taken to have as many followers as the one
+    /// with most. 0 without relays.
+    uint32_t estimatedNodes() const;
+    void setFollowers(uint32_t count) { this->followers = count; }
     /// Adds what followers need to know of this node's own contact with the registry.
     void describe(RelayedNews& news) const;
 
@@ -51,6 +61,7 @@
         std::string failureDomain;
         /// Not asked before this time, because it did not answer or knew less than this node.
         Milliseconds blockedUntil;
+        uint32_t followers { 0 };
     };
 
     void list(Freshness freshness);
@@ -80,6 +91,8 @@
     GatewayContext& context;
     std::vector<Relay> relays;
     bool hasFollowers;
+    uint32_t followers { 0 };
+    size_t relayCount;
     Hooks hooks;
     RegistryRelay relayed;
     uint64_t revision { 0 };
--- a/Libraries/Gateway/TargetSelector.cpp
+++ b/Libraries/Gateway/TargetSelector.cpp
@@ -20,7 +20,7 @@
 }
 
 TargetSelector::TargetPointer TargetSelector::choose(std::span<TargetPointer const> targets,
-    std::span<TargetPointer const> excluded, Milliseconds typical, Milliseconds now) const
+    std::span<TargetPointer const> excluded, GatewayTarget::Demand const& demand, Milliseconds now) const
 {
     TargetPointer best;
     Milliseconds bestExpected;
@@ -33,7 +33,7 @@
                 lastResort = target;
             continue;
         }
-        auto const expected = target->expectedLatency(typical, now) * (1 + tieBreak * this->random());
+        auto const expected = target->expectedLatency(demand, now) * (1 + tieBreak * this->random());
         if (!best || expected < bestExpected) {
             best = target;
             bestExpected = expected;
--- a/Libraries/Gateway/TargetSelector.h
+++ b/Libraries/Gateway/TargetSelector.h
@@ -15,10 +15,9 @@
     /// `random` gives numbers in [0, 1); it breaks ties so that nodes do not choose in step.
     explicit TargetSelector(std::function<double()> random);
 
-    /// Best target that is not in `excluded`; null when there is none that may get a request. `typical` is the usual
-    /// latency of such requests.
+    /// Best target that is not in `excluded`; null when there is none that may get a request.
     TargetPointer choose(std::span<TargetPointer const> targets, std::span<TargetPointer const> excluded,
-        Milliseconds typical, Milliseconds now) const;
+        GatewayTarget::Demand const& demand, Milliseconds now) const;
     /// Earliest time at which a blocked target may be tried again; `now` when one is not blocked or none is known.
     static Milliseconds nextAvailable(std::span<TargetPointer const> targets, Milliseconds now);
 
--- a/Libraries/GatewayNode/GatewayServer.cpp
+++ b/Libraries/GatewayNode/GatewayServer.cpp
@@ -42,8 +42,7 @@
            },
               {}, {}, {} })
     , relayClient(this->loop, this->hooks.decodeEntry)
-    , registry(this->gateway, this->isRelay() ? std::vector<std::string> {} : this->settings.relays, this->isRelay(),
-          this->createRegistryHooks())
+    , registry(this->gateway, { this->settings.relays, this->isRelay() }, this->createRegistryHooks())
 {
     if (!this->settings.relayListen.empty())
         this->relayServer = std::make_unique<RelayServer>(this->loop, this->settings.relayListen, this->registry);
@@ -68,6 +67,7 @@
     gatewayHooks.schedule = [this](Milliseconds at, std::function<void()> task) -> Canceller {
         return [this, timer = this->loop.schedule(at, std::move(task))] { this->loop.cancel(timer); };
     };
+    gatewayHooks.connectionShare = [this](uint32_t limit) { return this->connectionShare(limit); };
     gatewayHooks.now = [] { return Clock::now(); };
     gatewayHooks.closeIdle = [this](std::string const& address) { this->pool.closeIdle(address); };
     gatewayHooks.random
@@ -118,7 +118,10 @@
 
 uint32_t GatewayServer::connectionShare(uint32_t limit) const
 {
-    return std::max(1U, limit / this->settings.connectionSharers);
+    // Nodes may join, be replaced, and follow relays unevenly, so more are reckoned with than are seen.
+    constexpr double reserve = 1.25;
+    auto const seen = static_cast<uint32_t>(this->registry.estimatedNodes() * reserve);
+    return std::max(1U, limit / std::max(this->settings.connectionSharers, seen));
 }
 
 static AttemptReply::Transport transportOf(HttpTransport transport)
@@ -149,8 +152,7 @@
     exchange.done = [done = std::move(done)](HttpClientResult&& result) {
         done({ transportOf(result.transport), std::move(result.head), std::move(result.body) });
     };
-    auto const handle
-        = this->pool.send(message.address, this->connectionShare(message.connections), std::move(exchange));
+    auto const handle = this->pool.send(message.address, message.connections, std::move(exchange));
     return [this, address = std::move(message.address), handle] { this->pool.cancel(address, handle); };
 }
 
--- a/Libraries/GatewayNode/RelayCodec.cpp
+++ b/Libraries/GatewayNode/RelayCodec.cpp
@@ -18,6 +18,7 @@
     if (news.outageEnded)
         body["outageEndedMs"] = wholeMilliseconds(*news.outageEnded);
     body["failureDomain"] = news.failureDomain;
+    body["followers"] = news.followers;
     for (auto const& event : news.events)
         body["entries"].append(event.source);
     return writeJson(body);
@@ -37,6 +38,8 @@
     if (document["outageEndedMs"].isUInt64())
         news.outageEnded = Milliseconds { document["outageEndedMs"].asDouble() };
     news.failureDomain = document["failureDomain"].asString();
+    if (document["followers"].isUInt())
+        news.followers = document["followers"].asUInt();
     for (auto const& entry : document["entries"]) {
         if (!entry.isString())
             throw Error(ErrorKind::InvalidInput, "A relay's entry is not a text", "Run the same version on all nodes");
--- a/Libraries/GatewayNode/RelayCodec.h
+++ b/Libraries/GatewayNode/RelayCodec.h
@@ -12,7 +12,8 @@
 /// Reads an entry as the registry wrote it; empty when it concerns the gateway in no way.
 using RegistryDecoder = std::function<std::optional<RegistryEvent>(std::string const& source)>;
 
-/// JSON body that one node sends another: {"revision", "ageMs", "outageEndedMs", "failureDomain", "entries": [text]}.
+/// JSON body that one node sends another: {"revision", "ageMs", "outageEndedMs", "failureDomain", "followers",
+/// "entries": [text]}.
 std::string writeRelayedNews(RelayedNews const& news);
 
 /// Throws Error of kind InvalidInput when the body cannot be read.
--- a/Libraries/GatewayNode/RelayServer.cpp
+++ b/Libraries/GatewayNode/RelayServer.cpp
@@ -91,6 +91,8 @@
         session->respond(head, news.reason);
         return;
     }
+    // Each follower keeps one connection.
+    this->sync.setFollowers(static_cast<uint32_t>(this->server.connections()));
     this->sync.describe(news);
     HTTPResponse head(HTTPResponse::HTTP_OK);
     head.setContentType("application/json");
--- /dev/null
+++ b/Scripts/gateway_soak.py
@@ -0,0 +1,549 @@
+#!/usr/bin/env python3
+"""Runs gateway processes under load with seeded random faults and checks the promises from both ends.
+
+`python3 Scripts/gateway_soak.py --seed N` prints the faults and the breaches, and ends with 1 when there are any.
+`--seconds S` runs fresh seeds for that time. Faults come from outside the processes: signals, a fault proxy before
+each target and before the store, and targets and a store that misbehave. They overlap and repeat.
+"""
+
+import argparse
+import collections
+import contextlib
+import http.client
+import json
+import pathlib
+import random
+import signal
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+
+ROOT = pathlib.Path(__file__).resolve().parents[1]
+sys.path.insert(0, str(ROOT / "Tests" / "Integration"))
+
+from platform_standin import (HOST, GatewayProcess, Store, Target, configuration, free_port, route,  # noqa: E402
+                              wait_until)
+
+NODES = 4
+RELAYS = 2
+SHARDS = ("shard-0", "shard-1", "shard-2")
+ZONES = ("wien-a", "graz-a", "linz-a")
+CALLERS = 12
+FAULT_S = 2.5
+# Bounds of the users' platform.
+DRAIN_S = 3.0
+CONFIGURATION_S = 3.0
+CALM_S = 4.0
+EXTRA_RATIO, EXTRA_ALLOWANCE, EXTRA_WINDOW_S = 0.2, 54, 10.0
+DEADLINE_MS = 1000
+# Answers may take this much longer than the deadline on a busy machine.
+DEADLINE_SLACK_S = 0.5
+
+
+class Proxy:
+    """tg-proxy with one route for each address given."""
+
+    def __init__(self, targets):
+        self.routes = {target: f"127.0.0.1:{free_port()}" for target in targets}
+        self.control_port = free_port()
+        arguments = [ROOT / "build" / "tg-proxy", "--control", f"127.0.0.1:{self.control_port}"]
+        for target, listen in self.routes.items():
+            arguments += ["--route", f"{listen}={target}"]
+        self.process = subprocess.Popen(  # pylint: disable=consider-using-with
+            arguments, stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL)
+
+    def set(self, target, **faults):
+        """Replaces the faults of one route; none heals it."""
+        connection = http.client.HTTPConnection("127.0.0.1", self.control_port, timeout=5)
+        connection.request("POST", f"/control/routes/{self.routes[target]}", json.dumps(faults))
+        if connection.getresponse().status != 200:
+            raise RuntimeError(f"the proxy refused {faults}")
+        connection.close()
+
+    def stop(self):
+        """Ends the proxy."""
+        self.process.kill()
+        self.process.wait()
+
+
+class ProxiedTarget(Target):
+    """A target that registers the address of its proxy route."""
+
+    proxies = {}
+
+    def register(self):
+        self.sequence += 1
+        address = self.proxies.get(self.port, f"127.0.0.1:{self.port}")
+        self.store.put(f"servers/{self.identity}", {
+            "service": self.service, "addr": address, "zone": self.zone, "version": "v1", "slots": 8,
+            "state": self.state, "warmup_left_ms": 0, "seq": self.sequence, "born": self.born})
+
+
+class History:
+    """What callers sent and got, and what disturbed whom."""
+
+    def __init__(self):
+        self.lock = threading.Lock()
+        self.calls = []
+        self.disturbances = []
+        self.drains = {}
+        self.versions = {}
+
+    @contextlib.contextmanager
+    def disturbed(self, what):
+        """Notes a disturbance of the nodes' or the store's links and processes."""
+        start = time.monotonic()
+        entry = [start, None, what]
+        self.disturbances.append(entry)
+        try:
+            yield
+        finally:
+            entry[1] = time.monotonic()
+
+    def was_calm(self, start, end):
+        """Whether nothing disturbed nodes or store from CALM_S before `start` to `end`."""
+        return all(entry[0] > end or (entry[1] is not None and entry[1] < start - CALM_S)
+                   for entry in self.disturbances)
+
+
+class Soak:
+    """One seeded run."""
+
+    def __init__(self, seed, folder, report):
+        self.random = random.Random(seed)
+        self.seed = seed
+        self.report = report
+        self.history = History()
+        self.store = Store()
+        self.stopping = False
+        self.version = 0
+        self.added = []
+        ports = [free_port() for _ in range(3 * (len(SHARDS) + 1))]
+        store_routes = [self.store.address]
+        self.proxy = Proxy([f"127.0.0.1:{port}" for port in ports] + store_routes)
+        ProxiedTarget.proxies = {port: self.proxy.routes[f"127.0.0.1:{port}"] for port in ports}
+        self.targets = []
+        for service in (*SHARDS, "single"):
+            for zone in ZONES:
+                self.targets.append(ProxiedTarget(self.store, f"{service}-{zone}", service, zone, ports.pop()))
+        self.retired = []
+        self.configure()
+        relays = [f"127.0.0.1:{free_port()}" for _ in range(RELAYS)]
+        self.nodes = []
+        for index in range(NODES):
+            settings = {"relays": relays, "relayListen": relays[index] if index < RELAYS else f"127.0.0.1:{free_port()}"}
+            self.nodes.append(GatewayProcess(folder, self.proxy.routes[self.store.address], f"node-{index}",
+                                             ZONES[index % 3], settings))
+        self.busy = set()
+        self.busy_lock = threading.Lock()
+
+    # Configuration
+
+    def configure(self):
+        """Writes the next version: it adds one route that shows whether the version is in force."""
+        self.version += self.random.randint(1, 3)
+        self.added.append(f"/v{self.version}/")
+        routes = [route("search", "/search/", gather=list(SHARDS), top_k=4, min_bound=0.6),
+                  route("fetch", "/fetch/", service="single"),
+                  route("pull", "/pull/", kind="non_idempotent", service="single")]
+        routes += [route(f"added{prefix}", prefix, service="single") for prefix in self.added]
+        self.store.put("op/config", configuration(self.version, routes, [*SHARDS, "single"]))
+        self.history.versions[self.added[-1]] = time.monotonic()
+
+    # Load
+
+    def caller(self, number):
+        """Sends requests until the run ends, mostly on kept connections, to nodes that may be gone."""
+        source = random.Random(self.seed * 1000 + number)
+        connections = {}
+        count = 0
+        while not self.stopping:
+            count += 1
+            node = source.randrange(NODES)
+            kind = source.choices(("search", "fetch", "pull", "added"), (5, 3, 3, 1))[0]
+            prefix = source.choice(self.added[-3:]) if kind == "added" else f"/{kind}/"
+            self.send(connections, node, kind, f"{prefix}{count}", f"{self.seed}-{number}-{count}")
+            time.sleep(source.uniform(0.0, 0.08))
+
+    def send(self, connections, node, kind, path, request_id):
+        """One request; records what came of it."""
+        record = {"id": request_id, "kind": kind, "path": path, "node": node, "at": time.monotonic(),
+                  "pid": self.nodes[node].process.pid, "body": request_id.encode() if kind == "pull" else b"",
+                  "status": None, "stamps": [], "missing": 0, "content": b"", "error": None,
+                  "kept": node in connections}
+        try:
+            connection = connections.pop(node, None) or http.client.HTTPConnection(
+                "127.0.0.1", self.nodes[node].caller_port, timeout=DEADLINE_MS / 1000 + 2)
+            connection.request("POST" if kind == "pull" else "GET", path, record["body"] or None,
+                               {"Host": HOST, "Request-Id": request_id, "Deadline-Ms": str(DEADLINE_MS)})
+            response = connection.getresponse()
+            record["content"] = response.read()
+            record["status"] = response.status
+            stamps = response.getheader("Part-Stamps") or response.getheader("Server-Stamp") or ""
+            record["stamps"] = [stamp.strip() for stamp in stamps.split(",") if stamp.strip()]
+            record["missing"] = int(response.getheader("Missing-Parts") or 0)
+            if response.getheader("Connection") == "close":
+                connection.close()
+            else:
+                connections[node] = connection
+        except (OSError, http.client.HTTPException) as error:
+            record["error"] = repr(error)
+        record["end"] = time.monotonic()
+        with self.history.lock:
+            self.history.calls.append(record)
+
+    # Faults
+
+    def pick(self, things):
+        """A thing that has no fault; None when all have one."""
+        with self.busy_lock:
+            free = [thing for thing in things if thing not in self.busy]
+            if not free:
+                return None
+            chosen = self.random.choice(free)
+            self.busy.add(chosen)
+            return chosen
+
+    def release(self, thing):
+        """Ends the reservation."""
+        with self.busy_lock:
+            self.busy.discard(thing)
+
+    def fault_target_behaviour(self, seconds):
+        """A target refuses, fails, loses answers, breaks them off or sends extra ones."""
+        target = self.pick(self.targets)
+        if target:
+            target.behaviour = self.random.choice(("shed", "run_and_reset", "fail", "truncate", "twice"))
+            time.sleep(seconds)
+            target.behaviour = None
+            self.release(target)
+
+    def fault_target_slow(self, seconds):
+        """A target is slow or stands still."""
+        target = self.pick(self.targets)
+        if target:
+            target.delay = self.random.choice((0.05, 0.3, 2))
+            time.sleep(seconds)
+            target.delay = 0
+            self.release(target)
+
+    def fault_target_link(self, seconds):
+        """The link to a target delays, cuts, swallows one direction or truncates."""
+        target = self.pick(self.targets)
+        if target:
+            faults = self.random.choice(({"delayMs": 60}, {"cut": True}, {"blackhole": "toCaller"},
+                                         {"blackhole": "toTarget"}, {"stall": True}, {"truncateAfter": 100}))
+            self.proxy.set(f"127.0.0.1:{target.port}", **faults)
+            time.sleep(seconds)
+            self.proxy.set(f"127.0.0.1:{target.port}")
+            self.release(target)
+
+    def fault_target_replaced(self, seconds):
+        """A target crashes without a word and another service's target gets its address; then it comes back."""
+        target = self.pick([target for target in self.targets if target.service != "single"])
+        if target:
+            target.crash()
+            stranger = ProxiedTarget(self.store, f"{target.identity}-s{self.random.random()}", "other", target.zone,
+                                     target.port)
+            self.retired.append(stranger)
+            time.sleep(0.5)
+            self.store.delete(f"servers/{target.identity}")
+            time.sleep(seconds)
+            stranger.stop()
+            self.reopen(target)
+
+    def fault_target_drains(self, seconds):
+        """A target announces its end, serves on for a while and leaves; then it comes back."""
+        target = self.pick(self.targets)
+        if target:
+            target.drain()
+            self.history.drains[target.identity] = (time.monotonic(), target)
+            time.sleep(DRAIN_S + seconds)
+            target.crash()
+            self.store.delete(f"servers/{target.identity}")
+            time.sleep(0.5)
+            self.reopen(target)
+
+    def reopen(self, target):
+        """Starts a target anew at its address."""
+        self.retired.append(target)
+        self.targets.remove(target)
+        self.targets.append(ProxiedTarget(self.store, f"{target.identity.split('~')[0]}~{self.random.randrange(10**6)}",
+                                          target.service, target.zone, target.port))
+        self.release(target)
+
+    def fault_store(self, seconds):
+        """The store refuses, is silent, is cut off, or forgets its history."""
+        if not self.pick([self.store]):
+            return
+        with self.history.disturbed("store"):
+            what = self.random.choice(("refuse", "silent", "cut", "history"))
+            if what == "cut":
+                self.proxy.set(self.store.address, cut=True)
+            elif what == "history":
+                self.store.forget_history()
+            else:
+                self.store.set_fault(what)
+            time.sleep(seconds)
+            self.store.set_fault(None)
+            self.proxy.set(self.store.address)
+        self.release(self.store)
+
+    def fault_node_stops(self, seconds):
+        """A node is stopped as planned and started again."""
+        self.end_node(signal.SIGTERM, seconds / 4)
+
+    def fault_node_killed(self, seconds):
+        """A node is killed and started again."""
+        self.end_node(signal.SIGKILL, seconds / 2)
+
+    def end_node(self, number, pause):
+        """Ends a node and starts it again."""
+        node = self.pick(self.nodes)
+        if node:
+            with self.history.disturbed(f"node {node.name} signal {number}"):
+                code = node.stop(number)
+                if number == signal.SIGTERM and code != 0:
+                    self.history.calls.append({"breach": f"planned stop of {node.name} ended with {code}"})
+                time.sleep(pause)
+                node.start(wait=False)
+                time.sleep(0.5)
+            self.release(node)
+
+    def fault_node_paused(self, seconds):
+        """A node stands still and wakes."""
+        node = self.pick(self.nodes)
+        if node:
+            with self.history.disturbed(f"node {node.name} paused"):
+                node.send_signal(signal.SIGSTOP)
+                time.sleep(seconds)
+                node.send_signal(signal.SIGCONT)
+            self.release(node)
+
+    def fault_node_reloaded(self, _seconds):
+        """A node reads its settings again, several times."""
+        node = self.pick(self.nodes)
+        if node:
+            for _ in range(3):
+                node.send_signal(signal.SIGHUP)
+                time.sleep(0.05)
+            self.release(node)
+
+    def fault_configurations(self, _seconds):
+        """Configurations come in quick succession."""
+        for _ in range(self.random.randint(1, 4)):
+            self.configure()
+            time.sleep(0.1)
+
+    def inject(self, seconds):
+        """Starts faults that overlap, one every few tenths of a second, until the time is over."""
+        names = sorted(name for name in dir(self) if name.startswith("fault_"))
+        threads = []
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            name = self.random.choice(names)
+            thread = threading.Thread(target=getattr(self, name), args=(self.random.uniform(0.3, FAULT_S),))
+            thread.start()
+            threads.append((name, thread))
+            time.sleep(self.random.uniform(0.2, 1.5))
+        for _, thread in threads:
+            thread.join()
+        self.report(f"seed {self.seed}: " + " ".join(name[len("fault_"):] for name, _ in threads))
+
+    def run(self, seconds):
+        """Runs the load and the faults; returns the breaches."""
+        try:
+            for node in self.nodes:
+                node.start(wait=False)
+            for node in self.nodes:
+                wait_until(node.ready, 10)
+            callers = [threading.Thread(target=self.caller, args=(number,)) for number in range(CALLERS)]
+            for thread in callers:
+                thread.start()
+            self.inject(seconds)
+            time.sleep(1)
+            self.check_recovered()
+            self.stopping = True
+            for thread in callers:
+                thread.join()
+            return Verdict(self).breaches()
+        finally:
+            self.stopping = True
+            for node in self.nodes:
+                node.stop()
+            self.proxy.stop()
+            for target in (*self.targets, *self.retired):
+                with contextlib.suppress(OSError):
+                    target.server.stop()
+            self.store.stop()
+
+    def check_recovered(self):
+        """All nodes must serve the last version again once the faults are over."""
+        last = self.added[-1]
+        for index, node in enumerate(self.nodes):
+            end = time.monotonic() + CONFIGURATION_S + CALM_S
+            while True:
+                self.send({}, index, "added", f"{last}x", f"recovered-{node.name}-{time.monotonic_ns()}")
+                if self.history.calls[-1]["status"] == 200:
+                    break
+                if time.monotonic() > end:
+                    self.history.calls.append({"breach": f"{node.name} does not serve {last} after the faults"})
+                    break
+                time.sleep(0.1)
+
+
+class Verdict:
+    """Checks the promises over the history."""
+
+    def __init__(self, soak):
+        self.soak = soak
+        self.calls = [call for call in soak.history.calls if "id" in call]
+        self.found = [call["breach"] for call in soak.history.calls if "breach" in call]
+        self.targets = [*soak.targets, *soak.retired]
+        self.runs = collections.defaultdict(list)
+        for target in self.targets:
+            for run in target.runs:
+                self.runs[run["id"]].append((target, run))
+
+    def breaches(self):
+        """All breaches as lines of text."""
+        self.check_answers()
+        self.check_runs()
+        self.check_versions()
+        self.check_drains()
+        self.check_extra_attempts()
+        answered = sum(1 for call in self.calls if call["status"] == 200)
+        self.soak.report(f"seed {self.soak.seed}: {len(self.calls)} requests, {answered} answered with success, "
+                         f"{len(self.found)} breaches")
+        if answered < len(self.calls) / 4:
+            self.found.append(f"only {answered} of {len(self.calls)} requests were served")
+        return self.found
+
+    def check_answers(self):
+        """Successes are whole and belong to the request; answers come in time."""
+        for call in self.calls:
+            name = f"{call['kind']} {call['id']} at node {call['node']}"
+            if call["status"] == 200:
+                if any(stamp.split(".")[1] != call["id"] for stamp in call["stamps"]) or not call["stamps"]:
+                    self.found.append(f"MIXED: {name} got {call['stamps']}")
+                elif call["kind"] == "search":
+                    self.check_merge(call, name)
+                elif call["content"] != self.records(call["stamps"], call["id"]):
+                    self.found.append(f"MIXED: {name} got another body than its target sent")
+            if call["end"] - call["at"] > DEADLINE_MS / 1000 + DEADLINE_SLACK_S \
+                    and self.soak.history.was_calm(call["at"], call["end"]):
+                self.found.append(f"LATE: {name} ended after {call['end'] - call['at']:.2f} s with {call['status']}")
+
+    @staticmethod
+    def records(stamps, request_id):
+        """Records that the targets of these stamps send, in the order of the stamps."""
+        return b"".join(f"{stamp.split('.')[0][:8]:8}{request_id[-7:]:>7}{index}".encode()
+                        for stamp in stamps for index in range(2))
+
+    def check_merge(self, call, name):
+        """The parts are of distinct shards, the count of missing ones is true, the body is the greatest records."""
+        services = [stamp.rsplit("-", 2)[0] for stamp in call["stamps"]]
+        if len(set(services)) != len(services) or len(services) + call["missing"] != len(SHARDS) or len(services) < 2:
+            self.found.append(f"MIXED: {name} has parts of {services} and {call['missing']} missing")
+        records = self.records(call["stamps"], call["id"])
+        greatest = sorted((records[at:at + 16] for at in range(0, len(records), 16)), reverse=True)[:4]
+        if call["content"] != b"".join(greatest):
+            self.found.append(f"MIXED: {name} has not the greatest records of its parts")
+
+    def check_runs(self):
+        """Nothing runs unasked, twice, elsewhere or after "not run"."""
+        sent = {call["id"]: call for call in self.calls}
+        for request_id, runs in self.runs.items():
+            call = sent.get(request_id)
+            if call is None:
+                self.found.append(f"UNASKED: {request_id} ran and was never sent")
+                continue
+            for target, run in runs:
+                expected = SHARDS if call["kind"] == "search" else ("single",)
+                if target.service not in expected:
+                    self.found.append(f"ROUTE: {request_id} ran at {target.service}")
+                if "path" in run and (run["path"], run["body"]) != (call["path"], call["body"]):
+                    self.found.append(f"UNASKED: {request_id} ran with another path or body")
+            if call["kind"] == "pull":
+                if len(runs) > 1:
+                    self.found.append(f"TWICE: {request_id} ran {len(runs)} times")
+                if call["status"] in (408, 421, 429, 503):
+                    self.found.append(f"REFUSED: {request_id} ran and was answered {call['status']}")
+
+    def check_versions(self):
+        """A version is in force in time, and none comes back after a newer one in the life of a process."""
+        served = {}
+        for call in sorted(self.calls, key=lambda entry: entry["at"]):
+            if call["kind"] != "added":
+                continue
+            prefix = "/" + call["path"].split("/")[1] + "/"
+            key = (call["pid"], prefix)
+            if call["status"] == 200:
+                served.setdefault(key, call["end"])
+            elif call["status"] == 404:
+                if key in served and served[key] < call["at"]:
+                    self.found.append(f"CONFIG: node {call['node']} forgot {prefix}")
+                due = self.soak.history.versions[prefix] + CONFIGURATION_S
+                if call["at"] > due and self.soak.history.was_calm(self.soak.history.versions[prefix], call["at"]):
+                    self.found.append(f"CONFIG: node {call['node']} does not know {prefix} "
+                                      f"{call['at'] - due + CONFIGURATION_S:.2f} s after it was accepted")
+
+    def check_drains(self):
+        """A target that leaves gets no request after the bound."""
+        for identity, (announced, target) in self.soak.history.drains.items():
+            late = [arrival for arrival in target.arrivals if arrival["at"] > announced + DRAIN_S]
+            if late and self.soak.history.was_calm(announced, late[0]["at"]):
+                self.found.append(f"DRAIN: {identity} got {late[0]['id']} {late[0]['at'] - announced:.2f} s "
+                                  "after it announced its end")
+
+    def check_extra_attempts(self):
+        """Extra arrivals stay within the shared budget in every window."""
+        sent = {call["id"]: call for call in self.calls}
+        for service in (*SHARDS, "single"):
+            arrivals = sorted((arrival["at"], arrival["id"]) for target in self.targets if target.service == service
+                              for arrival in target.arrivals)
+            requests = sorted(call["at"] for call in sent.values() if (call["kind"] == "search") == (service in SHARDS))
+            seen = set()
+            extras = [at for at, request_id in arrivals if request_id in seen or seen.add(request_id)]
+            for start in extras:
+                window = sum(1 for at in extras if start <= at < start + EXTRA_WINDOW_S)
+                paid = sum(1 for at in requests if start - 0.5 <= at < start + EXTRA_WINDOW_S)
+                if window > EXTRA_RATIO * paid + EXTRA_ALLOWANCE:
+                    self.found.append(f"BUDGET: {service} got {window} extra arrivals for {paid} requests")
+                    break
+
+
+def run_seed(seed, seconds, report=print):
+    """Runs one seed; returns the breaches."""
+    with tempfile.TemporaryDirectory() as folder:
+        breaches = Soak(seed, folder, report).run(seconds)
+        if breaches:
+            kept = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
+            for log in pathlib.Path(folder).glob("*.log"):
+                log.rename(kept / log.name)
+            report(f"seed {seed}: logs kept in {kept}")
+        return breaches
+
+
+def main():
+    """Prints the breaches and ends with 1 when there are any."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--seed", type=int, action="append", default=[], help="may be given several times")
+    parser.add_argument("--faults-s", type=float, default=8, help="time with faults for each seed")
+    parser.add_argument("--seconds", type=float, default=0, help="run fresh seeds for this time")
+    arguments = parser.parse_args()
+    failed = False
+    end = time.monotonic() + arguments.seconds
+    seeds = list(arguments.seed) or ([] if arguments.seconds else [1])
+    while seeds or time.monotonic() < end:
+        seed = seeds.pop(0) if seeds else random.SystemRandom().randrange(10**6)
+        for breach in run_seed(seed, arguments.faults_s):
+            failed = True
+            print(f"seed {seed}: {breach}", flush=True)
+    sys.exit(1 if failed else 0)
+
+
+if __name__ == "__main__":
+    main()
--- a/Tests/Gateway/GatewayFixture.h
+++ b/Tests/Gateway/GatewayFixture.h
@@ -48,6 +48,7 @@
             return [timer] { timer->cancelled = true; };
         };
         result.now = [this] { return this->time; };
+        result.connectionShare = [](uint32_t) { return 10U; };
         result.closeIdle = [](std::string const&) {};
         result.random = [] { return 0.0; };
         result.log = [this](std::string const& line) { this->lines.push_back(line); };
--- a/Tests/Gateway/TestGatewayParts.cpp
+++ b/Tests/Gateway/TestGatewayParts.cpp
@@ -218,6 +218,7 @@
     TargetDirectory directory { "wien-a", { [](std::string_view, TargetRegistration const&) {} } };
     TargetSelector selector { [] { return 0.0; } };
     Milliseconds now { 1000 };
+    uint32_t connections { 10 };
 
     static TargetRegistration registration(std::string const& id, std::string const& domain)
     {
@@ -238,7 +239,7 @@
 
     std::string chosen()
     {
-        auto const target = selector.choose(directory.targets("s"), {}, 10_ms, now);
+        auto const target = selector.choose(directory.targets("s"), {}, { 10_ms, connections }, now);
         return target ? target->registration().id : "none";
     }
     GatewayTarget& near() { return *directory.targets("s")[0]; }
@@ -258,6 +259,16 @@
     STRCMP_EQUAL("near", chosen().c_str());
 }
 
+// Guards against requests that wait for the node's only connection although another target is free.
+TEST(TargetSelection, BusyConnectionsCountAsAQueue)
+{
+    connections = 1;
+    near().onSent(now);
+    STRCMP_EQUAL("far", chosen().c_str());
+    connections = 2;
+    STRCMP_EQUAL("near", chosen().c_str());
+}
+
 // Guards against a slow target that keeps its share of the requests, and against one that is shunned for ever.
 TEST(TargetSelection, AvoidsASlowTargetForAWhile)
 {
--- a/Tests/Gateway/TestRegistrySync.cpp
+++ b/Tests/Gateway/TestRegistrySync.cpp
@@ -12,8 +12,8 @@
     std::vector<std::pair<uint64_t, std::function<void(RegistryReply&&)>>> watches;
     std::vector<std::pair<std::string, std::function<void(RelayedNews&&)>>> follows;
     std::vector<std::function<void(RelayedNews&&)>> copies;
-    RegistrySync sync { fixture.gateway, {}, false, hooks() };
-    RegistrySync follower { fixture.gateway, { "relay-1", "relay-2" }, false, hooks() };
+    RegistrySync sync { fixture.gateway, {}, hooks() };
+    RegistrySync follower { fixture.gateway, { { "relay-1", "relay-2" }, false }, hooks() };
 
     RegistrySync::Hooks hooks()
     {
@@ -220,6 +220,19 @@
     LONGS_EQUAL(2, follows.size());
 }
 
+// Guards against nodes that share a target's connections among fewer nodes than there are.
+TEST(RegistrySync, EstimatesTheNodesFromTheRelayWithMostFollowers)
+{
+    LONGS_EQUAL(0, sync.estimatedNodes());
+    LONGS_EQUAL(2, follower.estimatedNodes());
+    follower.start();
+    lists[0](reply(5, {}));
+    auto some = news(5, {});
+    some.followers = 9;
+    follows[0].second(std::move(some));
+    LONGS_EQUAL(20, follower.estimatedNodes());
+}
+
 // Guards against a follower that takes a relay's older knowledge for news.
 TEST(RegistrySync, RelayThatKnowsLessIsLeft)
 {
