Close idle connections after a cancelled attempt; shorten the last resort of draining targets

Cause: connections that went silent are noticed only by attempts that time out; attempts that lose against a hedge are cancelled and left the other silent connections in place. A draining target was the last resort for 1.2 s after a node learned of it, which with the 2.5 s that news may take exceeds the bound of 3 s. Change: a cancelled attempt closes the target's idle connections; the last resort lasts 0.4 s; log lines of attempts name the transport when there was no answer.

--- a/Libraries/Gateway/AttemptOutcome.cpp
+++ b/Libraries/Gateway/AttemptOutcome.cpp
@@ -27,6 +27,21 @@
     return "unknown";
 }
 
+std::string_view toString(AttemptReply::Transport transport)
+{
+    switch (transport) {
+    case AttemptReply::Transport::Answered:
+        return "answered";
+    case AttemptReply::Transport::NotSent:
+        return "not-sent";
+    case AttemptReply::Transport::TimedOut:
+        return "timed-out";
+    case AttemptReply::Transport::Broken:
+        break;
+    }
+    return "broken";
+}
+
 AttemptOutcome outcomeOf(AttemptReply const& reply, GatewayHeaders const& names)
 {
     switch (reply.transport) {
@@ -71,8 +86,8 @@
 
 void removeConnectionFields(Poco::Net::HTTPMessage& head)
 {
-    Poco::StringTokenizer const named(head.get("Connection", ""), ",",
-        Poco::StringTokenizer::TOK_TRIM | Poco::StringTokenizer::TOK_IGNORE_EMPTY);
+    Poco::StringTokenizer const named(
+        head.get("Connection", ""), ",", Poco::StringTokenizer::TOK_TRIM | Poco::StringTokenizer::TOK_IGNORE_EMPTY);
     for (auto const& name : named) {
         // A caller must not be able to remove the fields that identify its request.
         if (Poco::icompare(name, "Host") != 0)
--- a/Libraries/Gateway/AttemptOutcome.h
+++ b/Libraries/Gateway/AttemptOutcome.h
@@ -24,14 +24,14 @@
 };
 
 std::string_view toString(AttemptOutcome outcome);
+std::string_view toString(AttemptReply::Transport transport);
 
 /// Reads the outcome of a reply. An answer without signature, or with a content coding that nobody asked for, did not
 /// come whole from the target and counts as Unknown.
 AttemptOutcome outcomeOf(AttemptReply const& reply, GatewayHeaders const& names);
 
 /// Whether the response answers the request `requestId`. Targets echo the id; a response without one is accepted.
-bool answersRequest(
-    Poco::Net::HTTPResponse const& head, std::string_view requestId, GatewayHeaders const& names);
+bool answersRequest(Poco::Net::HTTPResponse const& head, std::string_view requestId, GatewayHeaders const& names);
 
 /// Empty when the header is absent or not three numbers.
 std::optional<ReportedLoad> readLoad(Poco::Net::HTTPResponse const& head, GatewayHeaders const& names);
--- a/Libraries/Gateway/ExtraAttemptBudget.h
+++ b/Libraries/Gateway/ExtraAttemptBudget.h
@@ -16,8 +16,8 @@
 public:
     struct Limits {
         double ratio { 0.19 };
-        /// This node's part of the allowance that the nodes share. A node that restarts within a window may spend it
-        /// again, so twice the sum over all nodes must fit into the shared allowance.
+        /// This node's part of the allowance that the nodes share. A node that restarts within a window has forgotten
+        /// what it spent, so the parts for both lifetimes of all nodes must fit into the shared allowance.
         double allowance { 1 };
         Milliseconds window { 10000 };
     };
--- a/Libraries/Gateway/Gateway.cpp
+++ b/Libraries/Gateway/Gateway.cpp
@@ -25,8 +25,8 @@
     : options(std::move(options))
     , context(createContext(this->options, std::move(hooks)))
 {
-    this->context.directory = TargetDirectory(this->options.failureDomain,
-        { [this](std::string_view event, TargetRegistration const& target) {
+    this->context.directory = TargetDirectory(
+        this->options.failureDomain, { [this](std::string_view event, TargetRegistration const& target) {
             this->context.log.line(event,
                 { { "target", target.id }, { "service", target.service }, { "address", target.address },
                     { "state", target.state == TargetRegistration::State::Draining ? "draining" : "serving" },
@@ -59,17 +59,14 @@
     return this->table ? this->table->configuration().limits : CallerLimits {};
 }
 
-static std::string_view pathOf(std::string const& uri)
-{
-    return std::string_view(uri).substr(0, uri.find('?'));
-}
+static std::string_view pathOf(std::string const& uri) { return std::string_view(uri).substr(0, uri.find('?')); }
 
 std::shared_ptr<GatewayRequest> Gateway::handle(CallerRequest&& request, GatewayRequest::Answered answered)
 {
     this->context.metrics.count("requests");
     if (!this->table) {
-        this->refuse(request, HTTPResponse::HTTP_SERVICE_UNAVAILABLE, "no configuration yet; not run",
-            startRetryAfter, answered);
+        this->refuse(request, HTTPResponse::HTTP_SERVICE_UNAVAILABLE, "no configuration yet; not run", startRetryAfter,
+            answered);
         return nullptr;
     }
     auto const* const route = this->table->find(request.head.get("Host", ""), pathOf(request.head.getURI()));
@@ -105,8 +102,8 @@
     this->context.metrics.count("answers_" + std::to_string(static_cast<int>(status)));
     this->context.log.line("refused",
         { { "request", requestId }, { "status", std::to_string(static_cast<int>(status)) },
-            { "configuration", std::to_string(this->version()) },
-            { "running", std::to_string(this->context.running) }, { "why", std::string(reason) } });
+            { "configuration", std::to_string(this->version()) }, { "running", std::to_string(this->context.running) },
+            { "why", std::string(reason) } });
     answered(std::move(answer));
 }
 
--- a/Libraries/Gateway/GatewayRequest.cpp
+++ b/Libraries/Gateway/GatewayRequest.cpp
@@ -3,6 +3,7 @@
 #include "Gateway/RecordMerger.h"
 #include <Poco/NumberFormatter.h>
 #include <Poco/NumberParser.h>
+#include <Poco/String.h>
 #include <algorithm>
 #include <cmath>
 
@@ -28,9 +29,8 @@
         this->attempts.begin(), this->attempts.end(), [](Attempt const& attempt) { return attempt.running; }));
 }
 
-std::shared_ptr<GatewayRequest> GatewayRequest::create(GatewayContext& context,
-    std::shared_ptr<RouteTable const> table, Route const& route, std::vector<std::string> services,
-    CallerRequest&& request, Answered answered)
+std::shared_ptr<GatewayRequest> GatewayRequest::create(GatewayContext& context, std::shared_ptr<RouteTable const> table,
+    Route const& route, std::vector<std::string> services, CallerRequest&& request, Answered answered)
 {
     std::shared_ptr<GatewayRequest> created(
         new GatewayRequest(context, std::move(table), route, std::move(request), std::move(answered)));
@@ -112,11 +112,12 @@
         return false;
     }
     // Attempts that reached a target count at the service, whatever it made of them.
-    bool const reachedBefore = std::any_of(part.attempts.begin(), part.attempts.end(),
-        [](Attempt const& attempt) { return attempt.running; })
-        || part.exposures > 0;
+    bool const reachedBefore = std::any_of(part.attempts.begin(), part.attempts.end(), [](Attempt const& attempt) {
+        return attempt.running;
+    }) || part.exposures > 0;
     if (reason != AttemptReason::First && reachedBefore) {
-        auto const use = reason == AttemptReason::Hedge ? ExtraAttemptBudget::Use::Hedge : ExtraAttemptBudget::Use::Retry;
+        auto const use
+            = reason == AttemptReason::Hedge ? ExtraAttemptBudget::Use::Hedge : ExtraAttemptBudget::Use::Retry;
         if (!this->context.budget.tryTake(part.service, use, now)) {
             this->context.metrics.count("extra_attempts_denied");
             this->context.log.line("extra-attempt-denied",
@@ -134,9 +135,8 @@
     // The request's own timer comes first, so that it decides between a partial answer and a timeout.
     message.timeout = this->deadline - now + Milliseconds { 5 };
     message.needsFreshConnection = this->route.repeatability == Repeatability::NonIdempotent;
-    message.isOwnResponse = [names = &this->context.headers, id = this->requestId](HTTPResponse const& head) {
-        return answersRequest(head, id, *names);
-    };
+    message.isOwnResponse = [names = &this->context.headers, id = this->requestId](
+                                HTTPResponse const& head) { return answersRequest(head, id, *names); };
     message.beforeSending
         = [self = this->shared_from_this()](Poco::Net::HTTPRequest& head) { self->setTimeLeft(head); };
     auto const attemptIndex = part.attempts.size();
@@ -147,9 +147,10 @@
     part.hedgeAt.reset();
     if (idempotent && part.runs + part.runningAttempts() < this->route.maximumAttempts)
         part.hedgeAt = now + this->context.latencies.hedgeDelay(this->route, now);
-    part.attempts[attemptIndex].cancel = this->context.hooks.send(std::move(message),
-        [self = this->shared_from_this(), partIndex, attemptIndex](
-            AttemptReply&& reply) { self->onReply(partIndex, attemptIndex, std::move(reply)); });
+    part.attempts[attemptIndex].cancel = this->context.hooks.send(
+        std::move(message), [self = this->shared_from_this(), partIndex, attemptIndex](AttemptReply&& reply) {
+            self->onReply(partIndex, attemptIndex, std::move(reply));
+        });
     this->context.metrics.count("attempts");
     return true;
 }
@@ -170,20 +171,23 @@
         this->context.latencies.add(this->route, now - attempt.sentAt, now);
     if (outcome == AttemptOutcome::WrongTarget)
         attempt.target->onReplaced();
+    if (reply.transport == AttemptReply::Transport::TimedOut)
+        this->context.hooks.closeIdle(attempt.target->registration().address);
     if (reply.transport == AttemptReply::Transport::Answered) {
         if (auto const load = readLoad(reply.head, this->context.headers))
             attempt.target->onLoad(*load, now);
     }
     if (outcome == AttemptOutcome::Success)
         return;
-    this->context.metrics.count("attempt_" + std::string(toString(outcome)));
+    this->context.metrics.count("attempt_" + Poco::replace(std::string(toString(outcome)), "-", "_"));
+    bool const answered = reply.transport == AttemptReply::Transport::Answered;
     this->context.log.line("attempt-ended",
         { { "request", this->requestId }, { "target", attempt.target->registration().id },
             { "service", attempt.target->registration().service }, { "outcome", std::string(toString(outcome)) },
-            { "status", std::to_string(static_cast<int>(reply.head.getStatus())) },
+            { answered ? "status" : "transport",
+                answered ? std::to_string(static_cast<int>(reply.head.getStatus()))
+                         : std::string(toString(reply.transport)) },
             { "after_ms", Poco::NumberFormatter::format((now - attempt.sentAt).value, 1) } });
-    if (reply.transport == AttemptReply::Transport::TimedOut)
-        this->context.hooks.closeIdle(attempt.target->registration().address);
 }
 
 void GatewayRequest::onReply(size_t partIndex, size_t attemptIndex, AttemptReply&& reply)
@@ -264,8 +268,8 @@
 
 size_t GatewayRequest::mergedParts() const
 {
-    return static_cast<size_t>(std::count_if(this->parts.begin(), this->parts.end(),
-        [](Part const& part) { return part.state == Part::State::Merged; }));
+    return static_cast<size_t>(std::count_if(
+        this->parts.begin(), this->parts.end(), [](Part const& part) { return part.state == Part::State::Merged; }));
 }
 
 bool GatewayRequest::isEnough(size_t count) const
@@ -287,8 +291,8 @@
 {
     if (this->finished || !this->started)
         return;
-    auto const waiting = static_cast<size_t>(std::count_if(this->parts.begin(), this->parts.end(),
-        [](Part const& part) { return part.state == Part::State::Waiting; }));
+    auto const waiting = static_cast<size_t>(std::count_if(
+        this->parts.begin(), this->parts.end(), [](Part const& part) { return part.state == Part::State::Waiting; }));
     auto const merged = this->mergedParts();
     if (!this->isEnough(merged + waiting)) {
         this->answerFailure();
@@ -324,8 +328,7 @@
     if (this->cancelTimer)
         this->cancelTimer();
     this->timerAt = at;
-    this->cancelTimer
-        = this->context.hooks.schedule(at, [self = this->shared_from_this()] { self->onTimer(); });
+    this->cancelTimer = this->context.hooks.schedule(at, [self = this->shared_from_this()] { self->onTimer(); });
 }
 
 void GatewayRequest::onTimer()
@@ -449,8 +452,8 @@
         }
         this->context.log.line("answered",
             { { "request", this->requestId }, { "route", this->route.name },
-                { "configuration", std::to_string(this->table->version()) },
-                { "status", std::to_string(status) }, { "result", std::string(result) },
+                { "configuration", std::to_string(this->table->version()) }, { "status", std::to_string(status) },
+                { "result", std::string(result) },
                 { "after_ms", Poco::NumberFormatter::format((now - this->receivedAt).value, 1) },
                 { "late", late ? "yes" : "no" }, { "extra", std::to_string(this->extraAttempts) },
                 { "missing", missing } });
@@ -461,8 +464,7 @@
     bool const loses = std::any_of(
         this->parts.begin(), this->parts.end(), [](Part const& part) { return part.runningAttempts() > 0; });
     if (loses)
-        this->context.hooks.schedule(
-            now + loserTime, [self = this->shared_from_this()] { self->cancelAttempts(); });
+        this->context.hooks.schedule(now + loserTime, [self = this->shared_from_this()] { self->cancelAttempts(); });
     if (auto const callback = std::exchange(this->answered, nullptr))
         callback(std::move(answer));
 }
@@ -477,11 +479,13 @@
                 continue;
             attempt.running = false;
             // An attempt that is still unanswered after the answer and the time for losers is a sign of trouble.
-            auto const result
-                = this->answered ? GatewayTarget::Result::Abandoned : GatewayTarget::Result::Failed;
+            auto const result = this->answered ? GatewayTarget::Result::Abandoned : GatewayTarget::Result::Failed;
             attempt.target->onEnded(result, attempt.sentAt, std::nullopt, this->now());
             if (attempt.cancel)
                 attempt.cancel();
+            // Its other connections may have gone silent as well; new ones show whether the target lives.
+            if (result == GatewayTarget::Result::Failed)
+                this->context.hooks.closeIdle(attempt.target->registration().address);
         }
     }
 }
--- a/Libraries/Gateway/GatewayTarget.cpp
+++ b/Libraries/Gateway/GatewayTarget.cpp
@@ -73,8 +73,7 @@
     ++this->unreachableInARow;
 }
 
-void GatewayTarget::onEnded(
-    Result result, Milliseconds sentAt, std::optional<Milliseconds> typical, Milliseconds now)
+void GatewayTarget::onEnded(Result result, Milliseconds sentAt, std::optional<Milliseconds> typical, Milliseconds now)
 {
     if (auto const found = std::find(this->starts.begin(), this->starts.end(), sentAt); found != this->starts.end())
         this->starts.erase(found);
--- a/Libraries/Gateway/RecordMerger.cpp
+++ b/Libraries/Gateway/RecordMerger.cpp
@@ -14,8 +14,8 @@
     }
     auto const count = std::min(limit, records.size());
     // std::string_view compares as memcmp does.
-    std::partial_sort(records.begin(), records.begin() + static_cast<std::ptrdiff_t>(count), records.end(),
-        std::greater<>());
+    std::partial_sort(
+        records.begin(), records.begin() + static_cast<std::ptrdiff_t>(count), records.end(), std::greater<>());
     std::string merged;
     merged.reserve(count * recordBytes);
     for (size_t index = 0; index < count; ++index)
--- a/Libraries/Gateway/TargetSelector.cpp
+++ b/Libraries/Gateway/TargetSelector.cpp
@@ -4,8 +4,9 @@
 
 namespace Toucan {
 
-/// A draining target still serves while all nodes learn of it; it is the last resort for this time only.
-constexpr Milliseconds drainingLastResort { 1200 };
+/// A draining target still serves while all nodes learn of it; it is the last resort for this time only. A node may
+/// learn of the drain up to 2.5 s late, and no request may reach the target 3 s after it.
+constexpr Milliseconds drainingLastResort { 400 };
 /// Random share of the expected latency, so that equal targets share the load.
 constexpr double tieBreak = 0.1;
 
--- a/Libraries/GatewayNode/GatewayServer.cpp
+++ b/Libraries/GatewayNode/GatewayServer.cpp
@@ -37,9 +37,7 @@
               [this] { this->gateway.shared().metrics.count("target_connections"); } })
     , callers(this->loop, this->settings.callerListen, this->callerLimits(), this->createCallerHooks())
     , readiness(this->loop, this->settings.readyListen, { {}, adminConnections },
-          { [this](HttpServerSession::Pointer const& session, HttpServerRequest&&) {
-               this->answerReadiness(session);
-           },
+          { [this](HttpServerSession::Pointer const& session, HttpServerRequest&&) { this->answerReadiness(session); },
               {}, {}, {} })
     , relayClient(this->loop, this->hooks.decodeEntry)
     , registry(this->gateway, { this->settings.relays, this->isRelay() }, this->createRegistryHooks())
@@ -61,7 +59,7 @@
 GatewayHooks GatewayServer::createGatewayHooks()
 {
     GatewayHooks gatewayHooks;
-    gatewayHooks.send = [this](AttemptMessage&& message, std::function<void(AttemptReply&&)> done) {
+    gatewayHooks.send = [this](AttemptMessage&& message, std::function<void(AttemptReply &&)> done) {
         return this->sendAttempt(std::move(message), std::move(done));
     };
     gatewayHooks.schedule = [this](Milliseconds at, std::function<void()> task) -> Canceller {
@@ -70,8 +68,7 @@
     gatewayHooks.connectionShare = [this](uint32_t limit) { return this->connectionShare(limit); };
     gatewayHooks.now = [] { return Clock::now(); };
     gatewayHooks.closeIdle = [this](std::string const& address) { this->pool.closeIdle(address); };
-    gatewayHooks.random
-        = [this] { return std::uniform_real_distribution<double>(0, 1)(this->randomEngine); };
+    gatewayHooks.random = [this] { return std::uniform_real_distribution<double>(0, 1)(this->randomEngine); };
     gatewayHooks.log = [](std::string const& line) { LOG(INFO) << line; };
     return gatewayHooks;
 }
@@ -80,10 +77,10 @@
 {
     auto registryHooks = this->hooks.connectRegistry(this->loop, this->settings);
     registryHooks.follow
-        = [this](std::string const& relay, uint64_t revision, std::function<void(RelayedNews&&)> done) {
+        = [this](std::string const& relay, uint64_t revision, std::function<void(RelayedNews &&)> done) {
               this->relayClient.follow(relay, revision, std::move(done));
           };
-    registryHooks.copy = [this](std::string const& relay, std::function<void(RelayedNews&&)> done) {
+    registryHooks.copy = [this](std::string const& relay, std::function<void(RelayedNews &&)> done) {
         this->relayClient.copy(relay, std::move(done));
     };
     return registryHooks;
@@ -146,7 +143,8 @@
     exchange.head = std::move(message.head);
     exchange.body = std::move(message.body);
     exchange.timeout = message.timeout;
-    exchange.connection = message.needsFreshConnection ? HttpExchange::Connection::Fresh : HttpExchange::Connection::Any;
+    exchange.connection
+        = message.needsFreshConnection ? HttpExchange::Connection::Fresh : HttpExchange::Connection::Any;
     exchange.beforeSending = std::move(message.beforeSending);
     exchange.isOwnResponse = std::move(message.isOwnResponse);
     exchange.done = [done = std::move(done)](HttpClientResult&& result) {
--- a/Libraries/GatewayNode/GatewaySettings.cpp
+++ b/Libraries/GatewayNode/GatewaySettings.cpp
@@ -41,8 +41,8 @@
     };
     settings.stopTime = milliseconds("stopMs", settings.stopTime);
     settings.balancerLag = milliseconds("balancerLagMs", settings.balancerLag);
-    settings.connectionSharers = static_cast<uint32_t>(
-        reader.integer("connectionSharers", settings.connectionSharers, { 1, mostSharers }));
+    settings.connectionSharers
+        = static_cast<uint32_t>(reader.integer("connectionSharers", settings.connectionSharers, { 1, mostSharers }));
     if (reader.has("extraAttempts")) {
         SettingsReader budget(reader.object("extraAttempts"), reader.pathOf("extraAttempts"), faults);
         readExtraAttempts(budget, settings);
--- a/Libraries/Net/HttpClientPool.cpp
+++ b/Libraries/Net/HttpClientPool.cpp
@@ -158,8 +158,8 @@
                 return;
             }
             // A response that comes before the whole request was sent leaves the connection in an unknown state.
-            this->finishExchange(this->reader.response().getKeepAlive() && this->channel->input().empty()
-                && !this->channel->unsent());
+            this->finishExchange(
+                this->reader.response().getKeepAlive() && this->channel->input().empty() && !this->channel->unsent());
         }
 
         bool isInformational() { return static_cast<int>(this->reader.response().getStatus()) < 200; }
@@ -245,10 +245,7 @@
             this->remove(Pointer(this->idle.front()));
     }
 
-    size_t runningExchanges() const
-    {
-        return this->connections.size() - this->idle.size() + this->waiting.size();
-    }
+    size_t runningExchanges() const { return this->connections.size() - this->idle.size() + this->waiting.size(); }
 
     void limit(uint32_t connectionLimit)
     {
@@ -404,8 +401,8 @@
         auto timeout = this->limits.idleTimeout;
         if (auto const server = connection->idleTimeout())
             timeout = std::min(timeout, std::max(*server - idleCloseMargin, Milliseconds {}));
-        connection->idleTimer = this->loop.schedule(Clock::now() + timeout,
-            [self = this->shared_from_this(), connection] { self->remove(connection); });
+        connection->idleTimer = this->loop.schedule(
+            Clock::now() + timeout, [self = this->shared_from_this(), connection] { self->remove(connection); });
     }
 
     void remove(Pointer const& connection)
--- a/Libraries/Net/SocketChannel.cpp
+++ b/Libraries/Net/SocketChannel.cpp
@@ -83,8 +83,7 @@
     constexpr double microsecondsPerMillisecond = 1000;
     tcp_info info {};
     socklen_t size = sizeof info;
-    if (this->closedState
-        || ::getsockopt(this->socket.impl()->sockfd(), IPPROTO_TCP, TCP_INFO, &info, &size) != 0
+    if (this->closedState || ::getsockopt(this->socket.impl()->sockfd(), IPPROTO_TCP, TCP_INFO, &info, &size) != 0
         || info.tcpi_rtt == 0)
         return std::nullopt;
     return Milliseconds { info.tcpi_rtt / microsecondsPerMillisecond };
--- a/Tests/Gateway/GatewayFixture.h
+++ b/Tests/Gateway/GatewayFixture.h
@@ -37,7 +37,7 @@
     GatewayHooks hooks()
     {
         GatewayHooks result;
-        result.send = [this](AttemptMessage&& message, std::function<void(AttemptReply&&)> done) -> Canceller {
+        result.send = [this](AttemptMessage&& message, std::function<void(AttemptReply &&)> done) -> Canceller {
             auto const entry = std::make_shared<Sent>(Sent { std::move(message), std::move(done) });
             this->sent.push_back(entry);
             return [entry] { entry->cancelled = true; };
--- a/Tests/Gateway/TestGatewayRequest.cpp
+++ b/Tests/Gateway/TestGatewayRequest.cpp
@@ -7,10 +7,7 @@
 
 static std::string record(char character) { return std::string(16, character); }
 
-TEST_GROUP(ForwardedRequest)
-{
-    GatewayFixture fixture;
-};
+TEST_GROUP(ForwardedRequest) { GatewayFixture fixture; };
 
 // Guards against an answer that loses the target's status, signature or body, or keeps fields of its connection.
 TEST(ForwardedRequest, RelaysTheAnswerUnchanged)
@@ -207,10 +204,7 @@
     STRCMP_EQUAL("0.100", fixture.header("Retry-After").c_str());
 }
 
-TEST_GROUP(ScatteredRequest)
-{
-    GatewayFixture fixture;
-};
+TEST_GROUP(ScatteredRequest) { GatewayFixture fixture; };
 
 // Guards against a merged answer with the wrong records, order, signatures or count of missing shards.
 TEST(ScatteredRequest, MergesTheGreatestRecordsOfAllParts)
--- a/Tests/Gateway/TestRegistrySync.cpp
+++ b/Tests/Gateway/TestRegistrySync.cpp
@@ -8,27 +8,26 @@
 TEST_GROUP(RegistrySync)
 {
     GatewayFixture fixture;
-    std::vector<std::function<void(RegistryReply&&)>> lists;
-    std::vector<std::pair<uint64_t, std::function<void(RegistryReply&&)>>> watches;
-    std::vector<std::pair<std::string, std::function<void(RelayedNews&&)>>> follows;
-    std::vector<std::function<void(RelayedNews&&)>> copies;
+    std::vector<std::function<void(RegistryReply &&)>> lists;
+    std::vector<std::pair<uint64_t, std::function<void(RegistryReply &&)>>> watches;
+    std::vector<std::pair<std::string, std::function<void(RelayedNews &&)>>> follows;
+    std::vector<std::function<void(RelayedNews &&)>> copies;
     RegistrySync sync { fixture.gateway, {}, hooks() };
     RegistrySync follower { fixture.gateway, { { "relay-1", "relay-2" }, false }, hooks() };
 
     RegistrySync::Hooks hooks()
     {
         RegistrySync::Hooks result;
-        result.list = [this](RegistrySync::Freshness, std::function<void(RegistryReply&&)> done) {
+        result.list = [this](RegistrySync::Freshness, std::function<void(RegistryReply &&)> done) {
             this->lists.push_back(std::move(done));
         };
-        result.watch = [this](uint64_t revision, Milliseconds, std::function<void(RegistryReply&&)> done) {
+        result.watch = [this](uint64_t revision, Milliseconds, std::function<void(RegistryReply &&)> done) {
             this->watches.emplace_back(revision, std::move(done));
         };
-        result.follow
-            = [this](std::string const& relay, uint64_t, std::function<void(RelayedNews&&)> done) {
-                  this->follows.emplace_back(relay, std::move(done));
-              };
-        result.copy = [this](std::string const&, std::function<void(RelayedNews&&)> done) {
+        result.follow = [this](std::string const& relay, uint64_t, std::function<void(RelayedNews &&)> done) {
+            this->follows.emplace_back(relay, std::move(done));
+        };
+        result.copy = [this](std::string const&, std::function<void(RelayedNews &&)> done) {
             this->copies.push_back(std::move(done));
         };
         return result;
@@ -180,8 +179,7 @@
 TEST(RegistrySync, UnusableEntryNamesNoTarget)
 {
     load();
-    watches[0].second(
-        reply(9, { UnusableEntry { "servers/t1", "t1", "Field \"addr\" is missing" }, target("t3") }));
+    watches[0].second(reply(9, { UnusableEntry { "servers/t1", "t1", "Field \"addr\" is missing" }, target("t3") }));
     LONGS_EQUAL(2, targets());
     CHECK(logged("entry-unusable"));
 }
