--- a/Libraries/Bench/KeyValueStore.cpp
+++ b/Libraries/Bench/KeyValueStore.cpp
@@ -1,7 +1,7 @@
 #include "Bench/KeyValueStore.h"
 
-#include "Base/Error.h"
 #include "Base/Base64.h"
+#include "Base/Error.h"
 #include <algorithm>
 #include <charconv>
 
--- a/Libraries/Bench/PlatformStandIn.cpp
+++ b/Libraries/Bench/PlatformStandIn.cpp
@@ -1,9 +1,9 @@
 #include "Bench/PlatformStandIn.h"
 
+#include "Base/Base64.h"
 #include "Base/Error.h"
 #include "Base/Json.h"
 #include "Bench/KeyValueStore.h"
-#include "Base/Base64.h"
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPRequestHandler.h>
 #include <Poco/Net/HTTPRequestHandlerFactory.h>
--- a/Libraries/GatewayNode/GatewayServer.cpp
+++ b/Libraries/GatewayNode/GatewayServer.cpp
@@ -140,7 +140,7 @@
 Canceller GatewayServer::sendAttempt(AttemptMessage&& message, std::function<void(AttemptReply&&)> done)
 {
     HttpExchange exchange;
-    exchange.head = std::move(message.head);
+    exchange.head = message.head;
     exchange.body = std::move(message.body);
     exchange.timeout = message.timeout;
     exchange.connection
@@ -148,7 +148,7 @@
     exchange.beforeSending = std::move(message.beforeSending);
     exchange.isOwnResponse = std::move(message.isOwnResponse);
     exchange.done = [done = std::move(done)](HttpClientResult&& result) {
-        done({ transportOf(result.transport), std::move(result.head), std::move(result.body) });
+        done({ transportOf(result.transport), result.head, std::move(result.body) });
     };
     auto const handle = this->pool.send(message.address, message.connections, std::move(exchange));
     return [this, address = std::move(message.address), handle] { this->pool.cancel(address, handle); };
@@ -167,7 +167,7 @@
     if (!request.roundTripTime)
         this->gateway.shared().metrics.count("callers_without_round_trip_time");
     auto const running = this->gateway.handle(
-        { std::move(request.head), std::move(request.body), transitTime }, [this, session](CallerAnswer&& answer) {
+        { request.head, std::move(request.body), transitTime }, [this, session](CallerAnswer&& answer) {
             this->requestsBySession.erase(session.get());
             session->respond(answer.head, answer.body);
         });
--- a/Libraries/Net/HttpClientPool.cpp
+++ b/Libraries/Net/HttpClientPool.cpp
@@ -201,7 +201,7 @@
 public:
     Endpoint(EventLoop& loop, Limits limits, std::string name)
         : loop(loop)
-        , limits(limits)
+        , limits(std::move(limits))
         , name(std::move(name))
     {
     }
@@ -448,7 +448,7 @@
 
 HttpClientPool::HttpClientPool(EventLoop& loop, Limits limits)
     : loop(loop)
-    , limits(limits)
+    , limits(std::move(limits))
 {
 }
 
--- a/Libraries/Platform/StoreClient.cpp
+++ b/Libraries/Platform/StoreClient.cpp
@@ -1,8 +1,8 @@
 #include "Platform/StoreClient.h"
 
+#include "Base/Base64.h"
 #include "Base/Error.h"
 #include "Base/Json.h"
-#include "Base/Base64.h"
 #include "Platform/HttpExchange.h"
 #include <Poco/Exception.h>
 #include <Poco/Net/StreamSocket.h>
--- a/Scripts/gateway_soak.py
+++ b/Scripts/gateway_soak.py
@@ -166,6 +166,8 @@
             prefix = source.choice(self.added[-3:]) if kind == "added" else f"/{kind}/"
             self.send(connections, node, kind, f"{prefix}{count}", f"{self.seed}-{number}-{count}")
             time.sleep(source.uniform(0.0, 0.08))
+        for connection in connections.values():
+            connection.close()
 
     def send(self, connections, node, kind, path, request_id):
         """One request; records what came of it."""
--- a/Tests/Gateway/TestRegistrySync.cpp
+++ b/Tests/Gateway/TestRegistrySync.cpp
@@ -36,6 +36,7 @@
     static std::vector<RegistryEvent> events(uint64_t revision, std::vector<RegistryChange> changes)
     {
         std::vector<RegistryEvent> result;
+        result.reserve(changes.size());
         for (auto& change : changes)
             result.push_back({ revision, "key-" + std::to_string(result.size()), "source", std::move(change) });
         return result;
--- a/Tests/Platform/TestStoreClient.cpp
+++ b/Tests/Platform/TestStoreClient.cpp
@@ -1,7 +1,7 @@
+#include "Base/Base64.h"
 #include "Base/Error.h"
 #include "Base/Json.h"
 #include "Bench/PlatformStandIn.h"
-#include "Base/Base64.h"
 #include "Platform/HttpExchange.h"
 #include "Platform/StoreClient.h"
 #include "Platform/VmListClient.h"
--- a/Tests/PlatformAdapter/TestDocuments.cpp
+++ b/Tests/PlatformAdapter/TestDocuments.cpp
@@ -2,6 +2,7 @@
 #include "platform/Documents.h"
 
 #include <string>
+#include <vector>
 
 #include "CppUTest/TestHarness.h"
 
@@ -112,9 +113,12 @@
 // Guards against half of a configuration in force.
 TEST(Documents, RefusesABadConfigurationWhole)
 {
-    for (auto const* text : { "{}", R"({"version":1,"routes":[{}],"services":[]})", R"({"version":"1"})", "\x01",
-             R"({"version":1,"routes":[{"name":"r","host":"h","prefix":"/","route_kind":"idempotent",)"
-             R"("timeout_ms":1,"attempts":1,"gather":[]}],"services":[]})" }) {
+    std::string const withoutShards
+        = R"({"version":1,"routes":[{"name":"r","host":"h","prefix":"/","route_kind":"idempotent",)"
+          R"("timeout_ms":1,"attempts":1,"gather":[]}],"services":[]})";
+    std::vector<std::string> const documents { "{}", R"({"version":1,"routes":[{}],"services":[]})",
+        R"({"version":"1"})", "\x01", withoutShards };
+    for (auto const& text : documents) {
         auto const change = readEntry("op/config", text);
         CHECK(std::get_if<UnusableEntry>(&*change));
     }
