--- a/Tests/Integration/platform_standin.py
+++ b/Tests/Integration/platform_standin.py
@@ -15,11 +15,16 @@
 import socket
 import struct
 import subprocess
+import sys
 import threading
 import time
 import urllib.parse
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+sys.path.insert(0, str(ROOT / "Scripts"))
+
+from toucanfleet import Ports  # noqa: E402  (the path is set above)
+
 GATEWAY = ROOT / "build" / "toucan-gateway"
 HOST = "front.example"
 
@@ -32,7 +37,7 @@
     request_queue_size = 128
 
     def __init__(self, handler, port=0):
-        super().__init__(("127.0.0.1", port), handler)
+        super().__init__(("127.0.0.1", port or free_port()), handler)
         self.open_sockets = set()
         self.lock = threading.Lock()
         threading.Thread(target=self.serve_forever, kwargs={"poll_interval": 0.05}, daemon=True).start()
@@ -353,10 +358,8 @@
 
 
 def free_port():
-    """A port that is free just now."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """A port from this process's block, outside the range of the kernel's own choices."""
+    return Ports().take()
 
 
 class GatewayProcess:
