Start exchanges under a lowered limit; take unnamed answers only on fresh connections

A trace of the pool shows 0 connections, 1 waiting, limit 2: the node's share had fallen from 3 to 2 with the estimate of nodes; one idle connection was closed for the fresh one, two stayed in the way, and their later end started nobody. Ruled out: connects (bounded at 250 ms, none logged), the stop itself (other requests wait for 5 s on nodes that run on). Change: idle connections are closed until the fresh one fits, and every end of an idle connection starts what waits; a response without id counts only on a connection's first exchange or when it says 'not run'.

--- a/Libraries/Gateway/AttemptOutcome.cpp
+++ b/Libraries/Gateway/AttemptOutcome.cpp
@@ -64,9 +64,12 @@
     return success ? AttemptOutcome::Success : AttemptOutcome::TargetFailed;
 }
 
-bool answersRequest(HTTPResponse const& head, std::string_view requestId, GatewayHeaders const& names)
+bool answersRequest(
+    HTTPResponse const& head, std::string_view requestId, bool firstOnConnection, GatewayHeaders const& names)
 {
-    return !head.has(names.requestId) || head.get(names.requestId) == requestId;
+    if (head.has(names.requestId))
+        return head.get(names.requestId) == requestId;
+    return firstOnConnection || head.has(names.notRun) || head.getStatus() == HTTPResponse::HTTP_MISDIRECTED_REQUEST;
 }
 
 std::optional<ReportedLoad> readLoad(HTTPResponse const& head, GatewayHeaders const& names)
--- a/Libraries/Gateway/AttemptOutcome.h
+++ b/Libraries/Gateway/AttemptOutcome.h
@@ -30,8 +30,11 @@
 /// come whole from the target and counts as Unknown.
 AttemptOutcome outcomeOf(AttemptReply const& reply, GatewayHeaders const& names);
 
-/// Whether the response answers the request `requestId`. Targets echo the id; a response without one is accepted.
-bool answersRequest(Poco::Net::HTTPResponse const& head, std::string_view requestId, GatewayHeaders const& names);
+/// Whether the response answers the request `requestId`. Targets echo the id. A response without one is accepted as the
+/// first of its connection, and when it says that the request was not run; otherwise it may be a second answer to an
+/// earlier request of the connection.
+bool answersRequest(Poco::Net::HTTPResponse const& head, std::string_view requestId, bool firstOnConnection,
+    GatewayHeaders const& names);
 
 /// Empty when the header is absent or not three numbers.
 std::optional<ReportedLoad> readLoad(Poco::Net::HTTPResponse const& head, GatewayHeaders const& names);
--- a/Libraries/Gateway/GatewayMessages.h
+++ b/Libraries/Gateway/GatewayMessages.h
@@ -60,7 +60,7 @@
     /// Called when a connection takes the request, which may have waited for one: the time that is left is less then.
     std::function<void(Poco::Net::HTTPRequest&)> beforeSending;
     /// Whether a response answers this attempt, and not an earlier one on the same connection.
-    std::function<bool(Poco::Net::HTTPResponse const&)> isOwnResponse;
+    std::function<bool(Poco::Net::HTTPResponse const&, bool firstOnConnection)> isOwnResponse;
 };
 
 struct AttemptReply {
--- a/Libraries/Gateway/GatewayRequest.cpp
+++ b/Libraries/Gateway/GatewayRequest.cpp
@@ -135,8 +135,8 @@
     // The request's own timer comes first, so that it decides between a partial answer and a timeout.
     message.timeout = this->deadline - now + Milliseconds { 5 };
     message.needsFreshConnection = this->route.repeatability == Repeatability::NonIdempotent;
-    message.isOwnResponse = [names = &this->context.headers, id = this->requestId](
-                                HTTPResponse const& head) { return answersRequest(head, id, *names); };
+    message.isOwnResponse = [names = &this->context.headers, id = this->requestId](HTTPResponse const& head,
+                                bool first) { return answersRequest(head, id, first, *names); };
     message.beforeSending
         = [self = this->shared_from_this()](Poco::Net::HTTPRequest& head) { self->setTimeLeft(head); };
     auto const attemptIndex = part.attempts.size();
--- a/Libraries/Net/HttpClientPool.cpp
+++ b/Libraries/Net/HttpClientPool.cpp
@@ -124,7 +124,7 @@
         bool skipsResponse()
         {
             auto const& isOwn = this->pending->exchange.isOwnResponse;
-            return this->isInformational() || (isOwn && !isOwn(this->reader.response()));
+            return this->isInformational() || (isOwn && !isOwn(this->reader.response(), !this->served));
         }
 
         void onEnded(SocketChannel::End end)
@@ -243,6 +243,7 @@
     {
         while (!this->idle.empty())
             this->remove(Pointer(this->idle.front()));
+        this->startWaiting();
     }
 
     size_t runningExchanges() const { return this->connections.size() - this->idle.size() + this->waiting.size(); }
@@ -293,7 +294,8 @@
 
     bool startOnNew(PendingPointer const& pending)
     {
-        if (this->connections.size() >= this->connectionLimit && !this->idle.empty())
+        // The limit may have been lowered, so that more than one idle connection is in the way.
+        while (this->connections.size() >= this->connectionLimit && !this->idle.empty())
             this->remove(Pointer(this->idle.front()));
         if (this->connections.size() >= this->connectionLimit)
             return false;
@@ -401,8 +403,11 @@
         auto timeout = this->limits.idleTimeout;
         if (auto const server = connection->idleTimeout())
             timeout = std::min(timeout, std::max(*server - idleCloseMargin, Milliseconds {}));
-        connection->idleTimer = this->loop.schedule(
-            Clock::now() + timeout, [self = this->shared_from_this(), connection] { self->remove(connection); });
+        connection->idleTimer
+            = this->loop.schedule(Clock::now() + timeout, [self = this->shared_from_this(), connection] {
+                  self->remove(connection);
+                  self->startWaiting();
+              });
     }
 
     void remove(Pointer const& connection)
--- a/Libraries/Net/HttpClientPool.h
+++ b/Libraries/Net/HttpClientPool.h
@@ -59,9 +59,9 @@
     Milliseconds timeout;
     /// Called just before the request is given to a connection; may change its fields.
     std::function<void(Poco::Net::HTTPRequest&)> beforeSending;
-    /// Whether a response answers this exchange; others are dropped and the next one is awaited. Every response does
-    /// when not set.
-    std::function<bool(Poco::Net::HTTPResponse const&)> isOwnResponse;
+    /// Whether a response answers this exchange, which may be the first of its connection; others are dropped and the
+    /// next one is awaited. Every response does when not set.
+    std::function<bool(Poco::Net::HTTPResponse const&, bool firstOnConnection)> isOwnResponse;
     /// Called once, never from within send().
     std::function<void(HttpClientResult&&)> done;
 };
--- a/Scripts/gateway_soak.py
+++ b/Scripts/gateway_soak.py
@@ -428,7 +428,7 @@
         for call in self.calls:
             name = f"{call['kind']} {call['id']} at node {call['node']}"
             if call["status"] == 200:
-                if any(stamp.split(".")[1] != call["id"] for stamp in call["stamps"]) or not call["stamps"]:
+                if any(stamp.split(".")[1:2] != [call["id"]] for stamp in call["stamps"]) or not call["stamps"]:
                     self.found.append(f"MIXED: {name} got {call['stamps']}")
                 elif call["kind"] == "search":
                     self.check_merge(call, name)
--- a/Tests/Gateway/TestGatewayParts.cpp
+++ b/Tests/Gateway/TestGatewayParts.cpp
@@ -158,9 +158,15 @@
 // Guards against an answer to an earlier request of the connection.
 TEST(AttemptOutcome, OtherRequestIdIsNoAnswer)
 {
-    CHECK(answersRequest(reply.head, "r1", names));
+    CHECK(answersRequest(reply.head, "r1", true, names));
+    CHECK(!answersRequest(reply.head, "r1", false, names));
     reply.head.set(names.requestId, "r0");
-    CHECK(!answersRequest(reply.head, "r1", names));
+    CHECK(!answersRequest(reply.head, "r1", true, names));
+    reply.head.set(names.requestId, "r1");
+    CHECK(answersRequest(reply.head, "r1", false, names));
+    reply.head.erase(names.requestId);
+    reply.head.set(names.notRun, "1");
+    CHECK(answersRequest(reply.head, "r1", false, names));
 }
 
 // Guards against a load header that cannot be read, and takes further figures.
--- a/Tests/Integration/test_gateway_soak.py
+++ b/Tests/Integration/test_gateway_soak.py
@@ -26,6 +26,10 @@
     def test_seed_2(self):
         self.check(2)
 
+    # Failed once: an extra answer without a request id was taken for the answer to the next request on a kept connection.
+    def test_seed_126(self):
+        self.check(126)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/Tests/Net/TestHttpClientPool.cpp
+++ b/Tests/Net/TestHttpClientPool.cpp
@@ -300,7 +300,7 @@
     HttpExchange exchange;
     exchange.head = Poco::Net::HTTPRequest("GET", "/");
     exchange.timeout = 500_ms;
-    exchange.isOwnResponse = [](Poco::Net::HTTPResponse const& head) { return head.get("Id", "") == "2"; };
+    exchange.isOwnResponse = [](Poco::Net::HTTPResponse const& head, bool) { return head.get("Id", "") == "2"; };
     exchange.done = [this](HttpClientResult&& result) { this->results.push_back(std::move(result)); };
     this->pool->send(this->listener.address(), 1, std::move(exchange));
     auto peer = this->accept();
@@ -348,6 +348,30 @@
     LONGS_EQUAL(1, this->pool->openConnections(this->listener.address()));
 }
 
+// Guards against an exchange that waits for ever beside idle connections above a lowered limit.
+TEST(HttpClientPool, FreshExchangeStartsUnderALoweredLimit)
+{
+    std::vector<RawPeer> peers;
+    for (int count = 0; count < 3; ++count) {
+        this->send("one", HttpExchange::Repeat::Forbidden, 3);
+        peers.push_back(this->accept());
+        peers.back().receiveUntilText(this->loop, 500_ms, "one");
+    }
+    for (auto& peer : peers)
+        peer.send(response("first"));
+    this->waitForResults(3);
+    LONGS_EQUAL(3, this->pool->openConnections(this->listener.address()));
+    HttpExchange exchange;
+    exchange.head = Poco::Net::HTTPRequest("POST", "/two");
+    exchange.connection = HttpExchange::Connection::Fresh;
+    exchange.timeout = 500_ms;
+    exchange.done = [this](HttpClientResult&& result) { this->results.push_back(std::move(result)); };
+    this->pool->send(this->listener.address(), 2, std::move(exchange));
+    runUntil(this->loop, 300_ms, [this] { return this->listener.hasConnection(); });
+    CHECK(this->listener.hasConnection());
+    LONGS_EQUAL(2, this->pool->openConnections(this->listener.address()));
+}
+
 TEST_GROUP(HttpClientPoolUntilClose)
 {
     EventLoop loop;
