--- a/Tests/Integration/test_gateway.py
+++ b/Tests/Integration/test_gateway.py
@@ -320,5 +320,66 @@
         self.assertNotEqual(free_port(), 0)
 
 
+class RelayTest(unittest.TestCase):
+    """A relay that watches the store and a follower that asks it."""
+
+    def setUp(self):
+        self.folder = tempfile.TemporaryDirectory()
+        self.addCleanup(self.folder.cleanup)
+        self.store = Store()
+        self.addCleanup(self.store.stop)
+        target = Target(self.store, "target-1", "single")
+        self.addCleanup(target.server.stop)
+        self.configure(3, "/first/")
+        relay_address = f"127.0.0.1:{free_port()}"
+        self.relay = self.start("relay", self.store.address, relay_address, relay_address)
+        self.relay.start()
+        self.relay_address = relay_address
+
+    def configure(self, version, *prefixes):
+        """Writes a configuration with one route for each prefix."""
+        routes = [route(f"route{prefix}", prefix, service="single") for prefix in prefixes]
+        self.store.put("op/config", configuration(version, routes, ["single"]))
+
+    def start(self, name, store_address, own_address, relay_address):
+        """Prepares a node that ends with the test."""
+        node = GatewayProcess(self.folder.name, store_address, name,
+                              settings={"relayListen": own_address, "relays": [relay_address]})
+        self.addCleanup(node.stop)
+        return node
+
+    def follower(self, store_address):
+        """Starts a node that follows the relay."""
+        return self.start("follower", store_address, f"127.0.0.1:{free_port()}", self.relay_address).start()
+
+    # Guards against a call to the store from every node for every change, and against late news.
+    def test_follower_hears_of_changes_from_its_relay(self):
+        follower = self.follower(self.store.address)
+        before = follower.metrics().get("toucan_gateway_registry_watches_total", 0)
+        for version in range(4, 9):
+            self.configure(version, "/first/", f"/v{version}/")
+            start = time.monotonic()
+            wait_until(lambda at=version: call(follower.caller_port, f"/v{at}/x", "r1").status == 200,
+                       CONFIGURATION_BOUND_S)
+            self.assertLess(time.monotonic() - start, 1)
+        self.assertEqual(follower.metrics().get("toucan_gateway_registry_watches_total", 0), before)
+
+    # Guards against a fresh node that serves nobody because the store refuses this node alone.
+    def test_fresh_node_copies_from_a_relay(self):
+        follower = self.follower(f"127.0.0.1:{free_port()}")
+        self.assertEqual(call(follower.caller_port, "/first/1", "r1").status, 200)
+        self.assertIn("event=registry-copied", follower.log())
+
+    # Guards against a follower that stays behind when its relay is paused or gone.
+    def test_follower_leaves_a_silent_relay(self):
+        follower = self.follower(self.store.address)
+        self.relay.send_signal(signal.SIGSTOP)
+        self.configure(4, "/first/", "/second/")
+        wait_until(lambda: call(follower.caller_port, "/second/x", "r1").status == 200, CONFIGURATION_BOUND_S)
+        self.assertIn("event=relay-left", follower.log())
+        self.relay.send_signal(signal.SIGCONT)
+        wait_until(lambda: call(self.relay.caller_port, "/second/x", "r2").status == 200, CONFIGURATION_BOUND_S)
+
+
 if __name__ == "__main__":
     unittest.main()
