Share how a gateway request ends; remove unused accessors

Cause: read-through of the whole change. The end of a request (state, count, timer) and the relay of a target's reply stood twice in GatewayRequest; the check for an earlier attempt named running attempts, which the count of exposures already holds; five accessors were called by nobody. Change: finish() and relayReply(); the redundant check and the accessors are gone. No behaviour changes.

--- a/Libraries/Gateway/DecisionLog.h
+++ b/Libraries/Gateway/DecisionLog.h
@@ -26,7 +26,6 @@
     DecisionLog(std::function<void(std::string const& line)> write, std::function<Milliseconds()> now);
 
     void line(std::string_view event, std::initializer_list<Field> fields, Weight weight = Weight::Bounded);
-    uint64_t droppedLines() const { return this->dropped; }
 
 private:
     bool takeRoom();
--- a/Libraries/Gateway/GatewayRequest.cpp
+++ b/Libraries/Gateway/GatewayRequest.cpp
@@ -112,10 +112,7 @@
         return false;
     }
     // Attempts that reached a target count at the service, whatever it made of them.
-    bool const reachedBefore = std::any_of(part.attempts.begin(), part.attempts.end(), [](Attempt const& attempt) {
-        return attempt.running;
-    }) || part.exposures > 0;
-    if (reason != AttemptReason::First && reachedBefore) {
+    if (reason != AttemptReason::First && part.exposures > 0) {
         auto const use
             = reason == AttemptReason::Hedge ? ExtraAttemptBudget::Use::Hedge : ExtraAttemptBudget::Use::Retry;
         if (!this->context.budget.tryTake(part.service, use, now)) {
@@ -220,8 +217,9 @@
     part.state = Part::State::Merged;
     part.hedgeAt.reset();
     part.signature = reply.head.get(this->context.headers.signature);
-    part.body = std::move(reply.body);
-    if (!this->route.isScattered())
+    if (this->route.isScattered())
+        part.body = std::move(reply.body);
+    else
         part.reply = std::move(reply);
 }
 
@@ -368,15 +366,11 @@
 
 void GatewayRequest::answerMerged()
 {
-    ProxiedAnswer answer;
     if (!this->route.isScattered()) {
-        auto& reply = *this->parts.front().reply;
-        removeConnectionFields(reply.head);
-        answer.head = reply.head;
-        answer.body = std::move(this->parts.front().body);
-        this->answer(std::move(answer), "relayed");
+        this->relayReply("relayed");
         return;
     }
+    ProxiedAnswer answer;
     std::string signatures;
     std::vector<std::string_view> bodies;
     for (auto const& part : this->parts) {
@@ -396,13 +390,18 @@
     this->answer(std::move(answer), missing ? "partial" : "whole");
 }
 
+void GatewayRequest::relayReply(std::string_view result)
+{
+    auto& reply = *this->parts.front().reply;
+    removeConnectionFields(reply.head);
+    this->answer({ reply.head, std::move(reply.body) }, result);
+}
+
 void GatewayRequest::answerFailure()
 {
     // The failure of the only target is relayed, because it is the target's answer.
     if (!this->route.isScattered() && this->parts.front().reply) {
-        auto& reply = *this->parts.front().reply;
-        removeConnectionFields(reply.head);
-        this->answer({ reply.head, std::move(reply.body) }, "target-failure");
+        this->relayReply("target-failure");
         return;
     }
     if (this->ranAnywhere())
@@ -435,10 +434,17 @@
     this->answer(std::move(answer), reason);
 }
 
-void GatewayRequest::answer(ProxiedAnswer&& answer, std::string_view result)
+void GatewayRequest::finish()
 {
     this->finished = true;
     --this->context.running;
+    if (auto const cancel = std::exchange(this->cancelTimer, nullptr))
+        cancel();
+}
+
+void GatewayRequest::answer(ProxiedAnswer&& answer, std::string_view result)
+{
+    this->finish();
     auto const now = this->now();
     auto const status = static_cast<int>(answer.head.getStatus());
     this->context.metrics.observe(this->route.name, now - this->receivedAt, now);
@@ -458,9 +464,6 @@
                 { "late", late ? "yes" : "no" }, { "extra", std::to_string(this->extraAttempts) },
                 { "missing", missing } });
     }
-    if (this->cancelTimer)
-        this->cancelTimer();
-    this->cancelTimer = {};
     bool const loses = std::any_of(
         this->parts.begin(), this->parts.end(), [](Part const& part) { return part.runningAttempts() > 0; });
     if (loses)
@@ -495,15 +498,11 @@
     if (this->finished)
         return;
     auto const self = this->shared_from_this();
-    this->finished = true;
-    --this->context.running;
+    this->finish();
     this->context.metrics.count("callers_gone");
     this->context.log.line("caller-gone",
         { { "request", this->requestId },
             { "after_ms", Poco::NumberFormatter::format((this->now() - this->receivedAt).value, 1) } });
-    if (this->cancelTimer)
-        this->cancelTimer();
-    this->cancelTimer = {};
     this->cancelAttempts();
     this->answered = nullptr;
 }
--- a/Libraries/Gateway/GatewayRequest.h
+++ b/Libraries/Gateway/GatewayRequest.h
@@ -92,10 +92,14 @@
     bool isEnough(size_t parts) const;
     bool ranAnywhere() const;
     void answerMerged();
+    /// Answers with what the target of a forwarded request answered.
+    void relayReply(std::string_view result);
     void answerFailure();
     void answerTimeout();
     void answerProblem(Poco::Net::HTTPResponse::HTTPStatus status, std::string_view reason);
     void answer(ProxiedAnswer&& answer, std::string_view result);
+    /// Nothing is decided any more; attempts may still run.
+    void finish();
     void cancelAttempts();
 
     GatewayContext& context;
--- a/Libraries/Gateway/RegistrySync.h
+++ b/Libraries/Gateway/RegistrySync.h
@@ -46,7 +46,6 @@
     void start();
     /// Whether the registry has been read completely once.
     bool isLoaded() const { return this->loaded; }
-    bool isConnected() const { return this->connected; }
     RegistryRelay& relay() { return this->relayed; }
     /// Nodes of the deployment as far as the relays show: every relay is taken to have as many followers as the one
     /// with most. 0 without relays.
--- a/Libraries/GatewayNode/GatewayServer.h
+++ b/Libraries/GatewayNode/GatewayServer.h
@@ -45,10 +45,6 @@
     /// Reads the settings again. May be called from a signal handler.
     void reload();
 
-    Gateway& gatewayEngine() { return this->gateway; }
-    Poco::Net::SocketAddress callerAddress() const { return this->callers.address(); }
-    Poco::Net::SocketAddress readyAddress() const { return this->readiness.address(); }
-
 private:
     GatewayHooks createGatewayHooks();
     RegistrySync::Hooks createRegistryHooks();
