Read version and readiness of a node from one answer in the watch of P8

The watch asked a node for its version first and for its readiness afterwards. A node that was starting answered version 0, got its configuration, and then said that it was ready, so 0 was noted as a version in force. Ruled out: a step back of the engine: version 0 exists only before the first configuration, and readiness needs one. Change: both values come from one answer of the metrics page. The check and its bound are unchanged. Conclusion: a fault of the watch.

--- a/Scripts/toucanfleet.py
+++ b/Scripts/toucanfleet.py
@@ -165,6 +165,7 @@
     status: int
     headers: dict
     body: object
+    text: str
     elapsed_ms: float
 
 
@@ -186,7 +187,7 @@
     except ValueError:
         parsed = None
     fields = {name.lower(): value for name, value in response.getheaders()}
-    return Answer(response.status, fields, parsed, (time.monotonic() - started) * 1000)
+    return Answer(response.status, fields, parsed, text.decode(errors="replace"), (time.monotonic() - started) * 1000)
 
 
 def shard_map(names, snapshot_sequence=1):
--- a/Tests/Integration/promise_fleet.py
+++ b/Tests/Integration/promise_fleet.py
@@ -6,6 +6,7 @@
 import http.client
 import json
 import pathlib
+import re
 import shutil
 import sys
 import tempfile
@@ -107,11 +108,15 @@
         return checked(call(self.platform, "POST", "/control", faults))
 
     def serving_version(self, node):
-        """Version in force on a node while it is ready; None when it is not ready or does not answer."""
+        """Version in force on a node while it is ready; None when it is not ready or does not answer.
+
+        Both come from one answer: a node that starts may become ready between two questions.
+        """
         try:
-            version = self.configuration_version(node)["version"]
-            return version if self.ready(node) else None
-        except (OSError, http.client.HTTPException, KeyError, TypeError):
+            answer = call(self.nodes[node].admin, "GET", "/metrics", timeout_s=2)
+            values = dict(re.findall(r"^(toucan_configuration_version|toucan_ready) (\d+)$", answer.text, re.M))
+            return int(values["toucan_configuration_version"]) if values["toucan_ready"] == "1" else None
+        except (OSError, http.client.HTTPException, KeyError):
             return None
 
 
--- a/Tests/Integration/test_checker.py
+++ b/Tests/Integration/test_checker.py
@@ -1,12 +1,17 @@
 """Tests of the history checker: each breaks one promise and guards against a checker that does not see the breach."""
 
+import http.server
+import json
 import pathlib
 import sys
+import threading
+import types
 import unittest
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[2] / "Scripts"))
 
 import check_history  # noqa: E402  (the path is set above)
+from promise_fleet import PromiseFleet  # noqa: E402
 
 
 def query(**changes):
@@ -128,5 +133,58 @@
         self.assert_breach("P6", targets=GOOD_TARGETS + [state("draining", 2000), start(time=5001, kind="refused")])
 
 
+class StartingNode(http.server.BaseHTTPRequestHandler):
+    """The admin address of a node that gets its first configuration right after the first question."""
+
+    def answer(self, status, body):
+        """Sends a body, and counts the question."""
+        self.server.questions += 1
+        self.send_response(status)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    def do_GET(self):  # pylint: disable=invalid-name
+        """Readiness and metrics."""
+        started = int(self.server.questions > 0)
+        if self.path == "/ready":
+            self.answer(200 if started else 503, b"")
+        else:
+            text = f"toucan_configuration_version {started}\ntoucan_ready {started}\n"
+            self.answer(200, text.encode())
+
+    def do_POST(self):  # pylint: disable=invalid-name
+        """The version by JSON-RPC."""
+        self.rfile.read(int(self.headers["Content-Length"]))
+        result = {"jsonrpc": "2.0", "id": 1, "result": {"version": int(self.server.questions > 0)}}
+        self.answer(200, json.dumps(result).encode())
+
+    def log_message(self, *_):
+        """No log."""
+
+
+class ServingVersionTest(unittest.TestCase):
+    """The version in force that the watch of P8 notes."""
+
+    def test_node_that_becomes_ready_between_two_questions(self):
+        """Guards against noting the version of a moment at which the node was not ready yet as a step back."""
+        server = http.server.HTTPServer(("127.0.0.1", 0), StartingNode)
+        server.questions = 0
+        thread = threading.Thread(target=server.serve_forever)
+        thread.start()
+        try:
+            address = f"127.0.0.1:{server.server_address[1]}"
+            fleet = types.SimpleNamespace(nodes={"entry-1": types.SimpleNamespace(admin=address)})
+            fleet.ready = lambda name: PromiseFleet.ready(fleet, name)
+            fleet.configuration_version = lambda name: PromiseFleet.configuration_version(fleet, name)
+            seen = [PromiseFleet.serving_version(fleet, "entry-1") for _ in range(3)]
+        finally:
+            server.shutdown()
+            thread.join()
+            server.server_close()
+        self.assertNotIn(0, seen)
+        self.assertEqual(seen[-1], 1)
+
+
 if __name__ == "__main__":
     unittest.main()
