Choose targets by the slowdown that they report

Cause: targets of the grown sites tell in the load header how long work takes on their machine now, and the gateway ignored it. Ruled out: the processor (0.003 cores a node), the store, failing targets. Change: ReportedSlowdown keeps the reported value; an unusual one is believed for about as long as it was seen, 0.4 s to 2 s. It replaces the latency ratio of targets that report it. Each of 59 nodes still learns alone.

--- a/Libraries/Gateway/AttemptOutcome.cpp
+++ b/Libraries/Gateway/AttemptOutcome.cpp
@@ -2,6 +2,7 @@
 
 #include <Poco/NumberParser.h>
 #include <Poco/StringTokenizer.h>
+#include <algorithm>
 #include <array>
 
 namespace Toucan {
@@ -77,14 +78,19 @@
     if (!head.has(names.load))
         return std::nullopt;
     Poco::StringTokenizer const numbers(head.get(names.load), ",", Poco::StringTokenizer::TOK_TRIM);
-    std::array<unsigned, 3> values {};
-    if (numbers.count() < values.size())
+    constexpr size_t required = 3;
+    std::array<unsigned, required + 1> values {};
+    auto const count = std::min(numbers.count(), values.size());
+    if (count < required)
         return std::nullopt;
-    for (size_t index = 0; index < values.size(); ++index) {
+    for (size_t index = 0; index < count; ++index) {
         if (!Poco::NumberParser::tryParseUnsigned(numbers[index], values[index]))
             return std::nullopt;
     }
-    return ReportedLoad { values[0], values[1], values[2] };
+    ReportedLoad load { values[0], values[1], values[2], {} };
+    if (count > required && values[required] > 0)
+        load.slowdown = values[required] / 100.0;
+    return load;
 }
 
 void removeConnectionFields(Poco::Net::HTTPMessage& head)
--- a/Libraries/Gateway/AttemptOutcome.h
+++ b/Libraries/Gateway/AttemptOutcome.h
@@ -36,7 +36,7 @@
 bool answersRequest(Poco::Net::HTTPResponse const& head, std::string_view requestId, bool firstOnConnection,
     GatewayHeaders const& names);
 
-/// Empty when the header is absent or not three numbers.
+/// Empty when the header is absent or its numbers cannot be read.
 std::optional<ReportedLoad> readLoad(Poco::Net::HTTPResponse const& head, GatewayHeaders const& names);
 
 /// Removes the fields that concern one connection only (RFC 9110, section 7.6.1), the length included.
--- a/Libraries/Gateway/GatewayMessages.h
+++ b/Libraries/Gateway/GatewayMessages.h
@@ -20,7 +20,8 @@
     std::string signature { "Toucan-Signature" };
     /// Identity of the target that the request is meant for.
     std::string expectedTarget { "Toucan-Expect-Target" };
-    /// Running, waiting and slots, separated by commas.
+    /// Running, waiting, slots and, when the target knows, the time that work takes now in percent of the usual time;
+    /// separated by commas.
     std::string load { "Toucan-Load" };
     /// Present when the target did not run the request.
     std::string notRun { "Toucan-Not-Run" };
--- a/Libraries/Gateway/GatewayTarget.cpp
+++ b/Libraries/Gateway/GatewayTarget.cpp
@@ -57,6 +57,8 @@
 
 double GatewayTarget::slowness(Milliseconds now) const
 {
+    if (auto const reported = this->reported.expected(now))
+        return *reported;
     auto const fade = std::exp(-(now - this->slownessAt).value / slownessFade.value);
     return 1 + (this->slownessEstimate - 1) * fade;
 }
@@ -99,6 +101,8 @@
 {
     this->load = load;
     this->loadAt = now;
+    if (load.slowdown)
+        this->reported.add(*load.slowdown, now);
 }
 
 Milliseconds GatewayTarget::expectedLatency(Demand const& demand, Milliseconds now) const
--- a/Libraries/Gateway/GatewayTarget.h
+++ b/Libraries/Gateway/GatewayTarget.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Gateway/ReportedSlowdown.h"
 #include "Gateway/TargetRegistration.h"
 
 #include <optional>
@@ -12,6 +13,8 @@
     uint32_t running { 0 };
     uint32_t waiting { 0 };
     uint32_t slots { 0 };
+    /// How long work takes at this moment, as a ratio to the usual time; empty when the target does not say.
+    std::optional<double> slowdown;
 };
 
 /// One target as this node sees it: its registration and what the node observed of it.
@@ -63,7 +66,7 @@
     /// Expected latency of a request, with penalties for distance, failures, queues and requests that have been
     /// unanswered for long. Lower is better.
     Milliseconds expectedLatency(Demand const& demand, Milliseconds now) const;
-    /// Ratio of observed to usual latency.
+    /// Ratio of the target's present to the usual latency: as it reports itself, or else as observed.
     double slowness(Milliseconds now) const;
     double failureShare(Milliseconds now) const;
 
@@ -85,6 +88,7 @@
     Milliseconds blockedUntil;
     ReportedLoad load;
     std::optional<Milliseconds> loadAt;
+    ReportedSlowdown reported;
 };
 
 } // namespace Toucan
--- a/Tests/Gateway/TestGatewayParts.cpp
+++ b/Tests/Gateway/TestGatewayParts.cpp
@@ -3,6 +3,7 @@
 #include "Gateway/ExtraAttemptBudget.h"
 #include "Gateway/LatencyBook.h"
 #include "Gateway/RecordMerger.h"
+#include "Gateway/ReportedSlowdown.h"
 #include "Gateway/RouteTable.h"
 #include "Gateway/TargetDirectory.h"
 #include "Gateway/TargetSelector.h"
@@ -169,14 +170,19 @@
     CHECK(answersRequest(reply.head, "r1", false, names));
 }
 
-// Guards against a load header that cannot be read, and takes further figures.
-TEST(AttemptOutcome, LoadIsThreeNumbersOrMore)
+// Guards against a load header that cannot be read, and against a slowdown that is ignored.
+TEST(AttemptOutcome, LoadIsThreeNumbersAndMaybeASlowdown)
 {
     CHECK(!readLoad(reply.head, names));
     reply.head.set(names.load, "3,x,8");
     CHECK(!readLoad(reply.head, names));
-    reply.head.set(names.load, "3, 1,8,400");
+    reply.head.set(names.load, "3, 1,8");
+    CHECK(!readLoad(reply.head, names)->slowdown);
+    reply.head.set(names.load, "3, 1,8,x");
+    CHECK(!readLoad(reply.head, names));
+    reply.head.set(names.load, "3, 1,8,400,7");
     LONGS_EQUAL(1, readLoad(reply.head, names)->waiting);
+    DOUBLES_EQUAL(4, *readLoad(reply.head, names)->slowdown, 1e-9);
 }
 
 // Guards against fields of one connection that reach the next one, and against a caller that removes Host.
@@ -296,6 +302,15 @@
     STRCMP_EQUAL("far", chosen().c_str());
 }
 
+// Guards against a target that says that its machine is slow and keeps its share until requests have suffered.
+TEST(TargetSelection, AvoidsATargetThatReportsASlowMachine)
+{
+    near().onLoad({ 1, 0, 2, 4.0 }, now);
+    STRCMP_EQUAL("far", chosen().c_str());
+    now += 1500_ms;
+    STRCMP_EQUAL("near", chosen().c_str());
+}
+
 // Guards against new connections to a dead target with every request.
 TEST(TargetSelection, UnreachableTargetIsBlockedForAGrowingTime)
 {
@@ -358,6 +373,35 @@
     LONGS_EQUAL(1, directory.size());
 }
 
+TEST_GROUP(ReportedSlowdown) {};
+
+// Guards against a machine that is tried again and again while it stays slow, and against one that is shunned for
+// seconds because of a short disturbance.
+TEST(ReportedSlowdown, UnusualValueIsBelievedAboutAsLongAsItWasSeen)
+{
+    ReportedSlowdown brief;
+    CHECK(!brief.expected(0_ms));
+    brief.add(0.8, 0_ms);
+    brief.add(4, 1000_ms);
+    DOUBLES_EQUAL(4, *brief.expected(1000_ms), 0.01);
+    CHECK(*brief.expected(2000_ms) < 1.2);
+    auto lasting = brief;
+    lasting.add(4, 3000_ms);
+    CHECK(*lasting.expected(4000_ms) > 2.5);
+    CHECK(*lasting.expected(12000_ms) < 1);
+}
+
+// Guards against news that arrive late and replace newer ones.
+TEST(ReportedSlowdown, OlderValueIsIgnored)
+{
+    ReportedSlowdown reported;
+    reported.add(4, 1000_ms);
+    reported.add(1, 900_ms);
+    DOUBLES_EQUAL(4, *reported.expected(1000_ms), 0.01);
+    reported.add(1, 1100_ms);
+    DOUBLES_EQUAL(1, *reported.expected(1100_ms), 0.01);
+}
+
 TEST_GROUP(LatencyBook) {};
 
 // Guards against hedges that come too late for the objective, or for nearly every request.
