Share the slowdowns of targets between nodes through the relays

Cause: with 59 nodes a target gets a request of a node every 1.5 s, so each node meets each slow target by itself and forgets it again before the next one. Extra attempts were denied 300 times in 2 s while 24 of 108 targets were slow. Change: a node sends a report to the relays when a target's slowdown is news to it (ObservationOutbox, 50 ms); a relay passes it on with the answers that its followers wait for anyway (ObservationFeed, at most each 100 ms and 250 answers a second). Followers now get more answers a second, so the age of a relay's news is judged against the end of the next wait instead of the moment of any answer, and a follower that watches the store itself pauses after changes as relays do.

--- a/Libraries/Gateway/Gateway.cpp
+++ b/Libraries/Gateway/Gateway.cpp
@@ -15,9 +15,10 @@
 {
     DecisionLog log(hooks.log, hooks.now);
     TargetSelector selector(hooks.random);
+    ObservationOutbox outbox({ hooks.now, hooks.schedule, hooks.shareObservations });
     GatewayContext context { std::move(hooks), options.headers, std::move(log), {},
-        TargetDirectory(options.failureDomain, {}), std::move(selector), ExtraAttemptBudget(options.extraAttempts),
-        {} };
+        TargetDirectory(options.failureDomain, {}), std::move(selector), ExtraAttemptBudget(options.extraAttempts), {},
+        std::move(outbox) };
     return context;
 }
 
--- a/Libraries/Gateway/GatewayContext.h
+++ b/Libraries/Gateway/GatewayContext.h
@@ -5,6 +5,7 @@
 #include "Gateway/GatewayMessages.h"
 #include "Gateway/GatewayMetrics.h"
 #include "Gateway/LatencyBook.h"
+#include "Gateway/ObservationOutbox.h"
 #include "Gateway/TargetDirectory.h"
 #include "Gateway/TargetSelector.h"
 
@@ -22,6 +23,8 @@
     std::function<uint32_t(uint32_t limit)> connectionShare;
     /// Closes kept connections to an address whose connections went silent.
     std::function<void(std::string const& address)> closeIdle;
+    /// Tells the other nodes what this one learned of targets; may be empty.
+    std::function<void(std::vector<TargetObservation>&&)> shareObservations;
     /// Numbers in [0, 1).
     std::function<double()> random;
     /// Writes one log line; must not block.
@@ -38,6 +41,7 @@
     TargetSelector selector;
     ExtraAttemptBudget budget;
     LatencyBook latencies;
+    ObservationOutbox outbox;
     /// Requests that have not been answered.
     size_t running { 0 };
 };
--- a/Libraries/Gateway/GatewayRequest.cpp
+++ b/Libraries/Gateway/GatewayRequest.cpp
@@ -171,8 +171,9 @@
     if (reply.transport == AttemptReply::Transport::TimedOut)
         this->context.hooks.closeIdle(attempt.target->registration().address);
     if (reply.transport == AttemptReply::Transport::Answered) {
-        if (auto const load = readLoad(reply.head, this->context.headers))
-            attempt.target->onLoad(*load, now);
+        auto const load = readLoad(reply.head, this->context.headers);
+        if (load && attempt.target->onLoad(*load, now))
+            this->context.outbox.add(attempt.target->registration().id, *load->slowdown);
     }
     if (outcome == AttemptOutcome::Success)
         return;
--- a/Libraries/Gateway/GatewayTarget.cpp
+++ b/Libraries/Gateway/GatewayTarget.cpp
@@ -28,6 +28,9 @@
 /// Cost of a failed attempt in terms of waiting: the next one starts from nothing.
 constexpr double failurePenaltyRatio = 6;
 constexpr Milliseconds loadFresh { 250 };
+/// A slowdown is shared with the other nodes when it matters for the choice of targets and is news.
+constexpr double leastSharedSlowdown = 2;
+constexpr double sharedRatio = 1.5;
 constexpr Milliseconds firstBlock { 250 };
 constexpr Milliseconds longestBlock { 2000 };
 
@@ -97,12 +100,16 @@
     this->slownessAt = now;
 }
 
-void GatewayTarget::onLoad(ReportedLoad load, Milliseconds now)
+bool GatewayTarget::onLoad(ReportedLoad load, Milliseconds now)
 {
     this->load = load;
     this->loadAt = now;
-    if (load.slowdown)
-        this->reported.add(*load.slowdown, now);
+    if (!load.slowdown)
+        return false;
+    auto const believed = this->reported.expected(now).value_or(1);
+    this->reported.add(*load.slowdown, now);
+    auto const [less, more] = std::minmax(believed, *load.slowdown);
+    return more >= leastSharedSlowdown && more >= less * sharedRatio;
 }
 
 Milliseconds GatewayTarget::expectedLatency(Demand const& demand, Milliseconds now) const
--- a/Libraries/Gateway/GatewayTarget.h
+++ b/Libraries/Gateway/GatewayTarget.h
@@ -53,7 +53,10 @@
     void onSent(Milliseconds now);
     /// `sentAt` is the time given to onSent(); `typical` the usual latency of such a request, when known.
     void onEnded(Result result, Milliseconds sentAt, std::optional<Milliseconds> typical, Milliseconds now);
-    void onLoad(ReportedLoad load, Milliseconds now);
+    /// Returns whether the reported slowdown differs so much from what the node believed that others should know.
+    bool onLoad(ReportedLoad load, Milliseconds now);
+    /// The target reported it to another node at the given time.
+    void onSlowdown(double slowdown, Milliseconds at) { this->reported.add(slowdown, at); }
     /// Another target answered at the address: no request is sent until the registration changes.
     void onReplaced() { this->replaced = true; }
 
--- /dev/null
+++ b/Libraries/Gateway/ObservationFeed.cpp
@@ -0,0 +1,39 @@
+#include "Gateway/ObservationFeed.h"
+
+#include <algorithm>
+
+namespace Toucan {
+
+/// Older observations are not worth passing on: most disturbances have ended by then.
+constexpr Milliseconds longestAge { 1000 };
+/// Bounds what a follower gets in one answer to about 4 KB.
+constexpr size_t mostEntries = 128;
+
+void ObservationFeed::append(std::span<TargetObservation const> observations, Milliseconds now)
+{
+    for (auto const& observation : observations) {
+        // Only the newest observation of a target counts.
+        std::erase_if(this->entries,
+            [&observation](Entry const& entry) { return entry.observation.target == observation.target; });
+        this->entries.push_back({ ++this->lastNumber, observation, now });
+    }
+    while (!this->entries.empty()
+        && (this->entries.size() > mostEntries || now - this->entries.front().appendedAt > longestAge))
+        this->entries.pop_front();
+}
+
+std::vector<TargetObservation> ObservationFeed::after(uint64_t after, Milliseconds now) const
+{
+    auto const first = after > this->lastNumber ? 0 : after;
+    std::vector<TargetObservation> result;
+    for (auto const& entry : this->entries) {
+        auto const age = now - entry.appendedAt;
+        if (entry.number <= first || age > longestAge)
+            continue;
+        result.push_back(entry.observation);
+        result.back().age += age;
+    }
+    return result;
+}
+
+} // namespace Toucan
--- /dev/null
+++ b/Libraries/Gateway/ObservationOutbox.cpp
@@ -0,0 +1,34 @@
+#include "Gateway/ObservationOutbox.h"
+
+#include <utility>
+
+namespace Toucan {
+
+/// Answers of the shards of one query come within this time.
+constexpr Milliseconds collectTime { 50 };
+
+ObservationOutbox::ObservationOutbox(Hooks hooks)
+    : hooks(std::move(hooks))
+{
+}
+
+void ObservationOutbox::add(std::string const& target, double slowdown)
+{
+    if (!this->hooks.send)
+        return;
+    auto const now = this->hooks.now();
+    if (this->pending.empty())
+        this->hooks.schedule(now + collectTime, [this] { this->flush(); });
+    this->pending[target] = { slowdown, now };
+}
+
+void ObservationOutbox::flush()
+{
+    auto const now = this->hooks.now();
+    std::vector<TargetObservation> observations;
+    for (auto const& [target, entry] : std::exchange(this->pending, {}))
+        observations.push_back({ target, entry.slowdown, now - entry.at });
+    this->hooks.send(std::move(observations));
+}
+
+} // namespace Toucan
--- a/Libraries/Gateway/RegistryRelay.h
+++ b/Libraries/Gateway/RegistryRelay.h
@@ -2,6 +2,7 @@
 
 #include "Base/Clock.h"
 #include "Gateway/RegistryEvent.h"
+#include "Gateway/TargetObservation.h"
 
 #include <cstdint>
 #include <deque>
@@ -27,9 +28,20 @@
     std::string failureDomain;
     /// Nodes that follow the teller.
     uint32_t followers { 0 };
+    /// What nodes learned of targets, and its number for the next question.
+    std::vector<TargetObservation> observations;
+    uint64_t lastObservation { 0 };
     std::string reason;
 };
 
+/// What a follower asks of a relay: changes after a revision and observations after a number. It is answered when there
+/// are some, or after the wait.
+struct RelayQuestion {
+    uint64_t revision { 0 };
+    uint64_t observation { 0 };
+    Milliseconds wait;
+};
+
 /// The registry's entries and recent changes, kept for nodes that follow this one instead of the registry.
 class RegistryRelay {
 public:
--- a/Libraries/Gateway/RegistrySync.cpp
+++ b/Libraries/Gateway/RegistrySync.cpp
@@ -17,9 +17,12 @@
 constexpr Milliseconds watchTime { 4000 };
 /// Each answer of a relay's watch shows its followers that its news are fresh.
 constexpr Milliseconds relayWatchTime { 1000 };
-/// News older than this are not waited for: with the time of one question to the relay, the node turns to the
-/// registry early enough to have a configuration in force within 3 s.
-constexpr Milliseconds oldestNews { 1700 };
+/// A node turns to the registry itself when a relay's news are older than this: early enough to have a configuration in
+/// force within 3 s.
+constexpr Milliseconds oldestNews { 2400 };
+/// Bounds on the wait of a question to a relay. A question ends when the relay's news would be too old.
+constexpr Milliseconds longestQuestion { 800 };
+constexpr Milliseconds shortestQuestion { 100 };
 /// Time in which a relay that failed is not asked again.
 constexpr Milliseconds relayBlock { 3000 };
 /// Registrations that lapsed in an outage are back within 2 s of its end when the target lives.
@@ -35,7 +38,7 @@
     if (topology.isRelay)
         return;
     for (auto& address : topology.relays)
-        this->relays.push_back({ std::move(address), {}, {}, 0 });
+        this->relays.push_back({ std::move(address), {}, {}, 0, 0, {} });
 }
 
 uint32_t RegistrySync::estimatedNodes() const
@@ -93,7 +96,8 @@
 
 void RegistrySync::follow(Relay& relay)
 {
-    this->hooks.follow(relay.address, this->revision,
+    auto const wait = std::clamp(oldestNews - relay.newsAge, shortestQuestion, longestQuestion);
+    this->hooks.follow(relay.address, { this->revision, relay.lastObservation, wait },
         [this, &relay](RelayedNews&& news) { this->onFollowed(relay, std::move(news)); });
 }
 
@@ -154,17 +158,34 @@
     this->onConnected();
     bool const changed = !reply.events.empty();
     this->take(std::move(reply.events), reply.revision);
-    if (changed && this->relays.empty())
+    if (changed)
         this->context.hooks.schedule(this->now() + changePause, [this] { this->next(); });
     else
         this->next();
 }
 
+void RegistrySync::takeObservations(std::span<TargetObservation const> observations)
+{
+    auto const now = this->now();
+    for (auto const& observation : observations) {
+        auto const target = this->context.directory.find(observation.target);
+        if (!target)
+            continue;
+        target->onSlowdown(observation.slowdown, now - observation.age);
+        this->context.metrics.count("observations_taken");
+    }
+}
+
 void RegistrySync::onFollowed(Relay& relay, RelayedNews&& news)
 {
+    if (news.status == RegistryStatus::Ok) {
+        this->takeObservations(news.observations);
+        relay.lastObservation = news.lastObservation;
+    }
     if (news.status == RegistryStatus::Ok && news.revision >= this->revision && news.age <= oldestNews) {
         relay.failureDomain = news.failureDomain;
         relay.followers = news.followers;
+        relay.newsAge = news.age;
         if (news.outageEnded)
             this->returnedAt = this->now() - *news.outageEnded;
         this->onConnected();
@@ -185,6 +206,7 @@
             { "age_ms", std::to_string(static_cast<int64_t>(news.age.value)) },
             { "why", news.status == RegistryStatus::Ok ? "its news are old" : news.reason } });
     relay.blockedUntil = this->now() + relayBlock;
+    relay.newsAge = {};
     this->watch();
 }
 
--- a/Libraries/Gateway/RegistrySync.h
+++ b/Libraries/Gateway/RegistrySync.h
@@ -28,8 +28,7 @@
         std::function<void(Freshness, std::function<void(RegistryReply&&)>)> list;
         /// Waits up to `wait` for changes after a revision; an empty reply when there are none.
         std::function<void(uint64_t revision, Milliseconds wait, std::function<void(RegistryReply&&)>)> watch;
-        /// Asks a relay for changes after a revision; it answers when there are some, or after a moment.
-        std::function<void(std::string const& relay, uint64_t revision, std::function<void(RelayedNews&&)>)> follow;
+        std::function<void(std::string const& relay, RelayQuestion, std::function<void(RelayedNews&&)>)> follow;
         /// Asks a relay for all entries.
         std::function<void(std::string const& relay, std::function<void(RelayedNews&&)>)> copy;
     };
@@ -51,6 +50,8 @@
     /// with most. 0 without relays.
     uint32_t estimatedNodes() const;
     void setFollowers(uint32_t count) { this->followers = count; }
+    /// Takes what other nodes learned of targets.
+    void takeObservations(std::span<TargetObservation const> observations);
     /// Adds what followers need to know of this node's own contact with the registry.
     void describe(RelayedNews& news) const;
 
@@ -61,6 +62,9 @@
         /// Not asked before this time, because it did not answer or knew less than this node.
         Milliseconds blockedUntil;
         uint32_t followers { 0 };
+        uint64_t lastObservation { 0 };
+        /// Age of its news in its last answer.
+        Milliseconds newsAge;
     };
 
     void list(Freshness freshness);
--- a/Libraries/Gateway/TargetDirectory.cpp
+++ b/Libraries/Gateway/TargetDirectory.cpp
@@ -92,6 +92,12 @@
     return next;
 }
 
+TargetDirectory::TargetPointer TargetDirectory::find(std::string const& id) const
+{
+    auto const found = this->targetsById.find(id);
+    return found == this->targetsById.end() ? nullptr : found->second;
+}
+
 std::span<TargetDirectory::TargetPointer const> TargetDirectory::targets(std::string const& service) const
 {
     auto const found = this->targetsByService.find(service);
--- a/Libraries/Gateway/TargetDirectory.h
+++ b/Libraries/Gateway/TargetDirectory.h
@@ -39,6 +39,8 @@
 
     /// Valid until the next change of the directory.
     std::span<TargetPointer const> targets(std::string const& service) const;
+    /// Null when the registry does not name it.
+    TargetPointer find(std::string const& id) const;
     size_t size() const { return this->targetsById.size(); }
 
 private:
--- /dev/null
+++ b/Libraries/Gateway/TargetObservation.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "Base/Clock.h"
+
+#include <string>
+
+namespace Toucan {
+
+/// What one node learned of a target, for the other nodes.
+struct TargetObservation {
+    /// Id of the target's registration.
+    std::string target;
+    /// As in ReportedLoad.
+    double slowdown { 1 };
+    /// Time since the target reported it.
+    Milliseconds age;
+};
+
+} // namespace Toucan
--- a/Libraries/GatewayNode/GatewayServer.cpp
+++ b/Libraries/GatewayNode/GatewayServer.cpp
@@ -68,6 +68,8 @@
     gatewayHooks.connectionShare = [this](uint32_t limit) { return this->connectionShare(limit); };
     gatewayHooks.now = [] { return Clock::now(); };
     gatewayHooks.closeIdle = [this](std::string const& address) { this->pool.closeIdle(address); };
+    gatewayHooks.shareObservations
+        = [this](std::vector<TargetObservation>&& observations) { this->shareObservations(observations); };
     gatewayHooks.random = [this] { return std::uniform_real_distribution<double>(0, 1)(this->randomEngine); };
     gatewayHooks.log = [](std::string const& line) { LOG(INFO) << line; };
     return gatewayHooks;
@@ -77,8 +79,8 @@
 {
     auto registryHooks = this->hooks.connectRegistry(this->loop, this->settings);
     registryHooks.follow
-        = [this](std::string const& relay, uint64_t revision, std::function<void(RelayedNews &&)> done) {
-              this->relayClient.follow(relay, revision, std::move(done));
+        = [this](std::string const& relay, RelayQuestion question, std::function<void(RelayedNews &&)> done) {
+              this->relayClient.follow(relay, question, std::move(done));
           };
     registryHooks.copy = [this](std::string const& relay, std::function<void(RelayedNews &&)> done) {
         this->relayClient.copy(relay, std::move(done));
@@ -86,6 +88,17 @@
     return registryHooks;
 }
 
+void GatewayServer::shareObservations(std::span<TargetObservation const> observations)
+{
+    if (this->isRelay() && this->relayServer)
+        this->relayServer->publish(observations);
+    auto const body = writeObservations(observations);
+    for (auto const& relay : this->settings.relays) {
+        if (relay != this->settings.relayListen)
+            this->relayClient.report(relay, body);
+    }
+}
+
 bool GatewayServer::isRelay() const
 {
     auto const& relays = this->settings.relays;
--- a/Libraries/GatewayNode/GatewayServer.h
+++ b/Libraries/GatewayNode/GatewayServer.h
@@ -48,6 +48,7 @@
 private:
     GatewayHooks createGatewayHooks();
     RegistrySync::Hooks createRegistryHooks();
+    void shareObservations(std::span<TargetObservation const> observations);
     bool isRelay() const;
     HttpServerSession::Hooks createCallerHooks();
     HttpServer::Limits callerLimits() const;
--- a/Libraries/GatewayNode/RelayClient.cpp
+++ b/Libraries/GatewayNode/RelayClient.cpp
@@ -1,6 +1,7 @@
 #include "GatewayNode/RelayClient.h"
 
 #include "GatewayNode/RelayServer.h"
+#include <Poco/URI.h>
 
 namespace Toucan {
 
@@ -10,6 +11,9 @@
 constexpr Milliseconds answerMargin { 500 };
 constexpr Milliseconds connectTimeout { 400 };
 constexpr size_t largestAnswer = 16777216;
+/// One question that waits for news, and one report.
+constexpr uint32_t connectionsPerRelay = 2;
+constexpr Milliseconds reportTimeout { 500 };
 
 RelayClient::RelayClient(EventLoop& loop, RegistryDecoder decode)
     : decode(std::move(decode))
@@ -17,9 +21,25 @@
 {
 }
 
-void RelayClient::follow(std::string const& relay, uint64_t revision, std::function<void(RelayedNews&&)> done)
+void RelayClient::follow(std::string const& relay, RelayQuestion question, std::function<void(RelayedNews&&)> done)
 {
-    this->call(relay, std::string(RelayServer::changesPath) + "?after=" + std::to_string(revision), std::move(done));
+    Poco::URI uri(RelayServer::changesPath);
+    uri.addQueryParameter("after", std::to_string(question.revision));
+    uri.addQueryParameter("observation", std::to_string(question.observation));
+    uri.addQueryParameter("wait", std::to_string(static_cast<uint64_t>(question.wait.value)));
+    this->call(relay, uri.getPathAndQuery(), std::move(done));
+}
+
+void RelayClient::report(std::string const& relay, std::string const& body)
+{
+    HttpExchange exchange;
+    exchange.head = Poco::Net::HTTPRequest("POST", RelayServer::observationsPath, Poco::Net::HTTPMessage::HTTP_1_1);
+    exchange.head.setContentType("application/json");
+    exchange.body = std::make_shared<std::string const>(body);
+    exchange.whenBusy = HttpExchange::WhenBusy::Drop;
+    exchange.timeout = reportTimeout;
+    exchange.done = [](HttpClientResult&&) {};
+    this->pool.send(relay, connectionsPerRelay, std::move(exchange));
 }
 
 void RelayClient::copy(std::string const& relay, std::function<void(RelayedNews&&)> done)
@@ -61,7 +81,7 @@
         }
         done(std::move(news));
     };
-    this->pool.send(relay, 1, std::move(exchange));
+    this->pool.send(relay, connectionsPerRelay, std::move(exchange));
 }
 
 } // namespace Toucan
--- a/Libraries/GatewayNode/RelayClient.h
+++ b/Libraries/GatewayNode/RelayClient.h
@@ -13,8 +13,11 @@
 public:
     RelayClient(EventLoop& loop, RegistryDecoder decode);
 
-    void follow(std::string const& relay, uint64_t revision, std::function<void(RelayedNews&&)> done);
+    void follow(std::string const& relay, RelayQuestion question, std::function<void(RelayedNews&&)> done);
     void copy(std::string const& relay, std::function<void(RelayedNews&&)> done);
+    /// Tells a relay what this node learned of targets. Lost when the relay does not answer: the next answers of the
+    /// targets show the same.
+    void report(std::string const& relay, std::string const& body);
 
 private:
     void call(std::string const& relay, std::string const& target, std::function<void(RelayedNews&&)> done);
--- a/Libraries/GatewayNode/RelayCodec.h
+++ b/Libraries/GatewayNode/RelayCodec.h
@@ -13,10 +13,15 @@
 using RegistryDecoder = std::function<std::optional<RegistryEvent>(std::string const& source)>;
 
 /// JSON body that one node sends another: {"revision", "ageMs", "outageEndedMs", "failureDomain", "followers",
-/// "entries": [text]}.
+/// "entries": [text], "observations": [[target, slowdown, age in ms]], "lastObservation"}.
 std::string writeRelayedNews(RelayedNews const& news);
 
 /// Throws Error of kind InvalidInput when the body cannot be read.
 RelayedNews readRelayedNews(std::string_view body, RegistryDecoder const& decode);
 
+/// JSON body {"observations"}, as above.
+std::string writeObservations(std::span<TargetObservation const> observations);
+/// Throws Error of kind InvalidInput when the body cannot be read.
+std::vector<TargetObservation> readObservations(std::string_view body);
+
 } // namespace Toucan
--- a/Libraries/GatewayNode/RelayServer.cpp
+++ b/Libraries/GatewayNode/RelayServer.cpp
@@ -1,5 +1,6 @@
 #include "GatewayNode/RelayServer.h"
 
+#include "Base/Error.h"
 #include "GatewayNode/RelayCodec.h"
 #include <Poco/NumberParser.h>
 #include <Poco/URI.h>
@@ -10,6 +11,10 @@
 
 /// Followers of one relay at the most; each keeps one connection.
 constexpr size_t mostFollowers = 500;
+/// Observations are worth most within a fraction of a second; the second bound keeps a relay with many followers from
+/// sending more than 250 answers a second.
+constexpr Milliseconds shortestFlushPeriod { 100 };
+constexpr Milliseconds flushPeriodPerFollower { 4 };
 
 RelayServer::RelayServer(EventLoop& loop, std::string const& address, RegistrySync& sync)
     : loop(loop)
@@ -28,12 +33,12 @@
     return hooks;
 }
 
-static std::optional<uint64_t> readRevision(Poco::URI const& uri)
+static std::optional<uint64_t> readNumber(Poco::URI const& uri, std::string_view wanted)
 {
     for (auto const& [name, value] : uri.getQueryParameters()) {
-        Poco::UInt64 revision = 0;
-        if (name == "after" && Poco::NumberParser::tryParseUnsigned64(value, revision))
-            return revision;
+        Poco::UInt64 number = 0;
+        if (name == wanted && Poco::NumberParser::tryParseUnsigned64(value, number))
+            return number;
     }
     return std::nullopt;
 }
@@ -42,33 +47,84 @@
 {
     try {
         Poco::URI const uri(request.head.getURI());
-        auto const revision = readRevision(uri);
+        auto const revision = readNumber(uri, "after");
         if (uri.getPath() == entriesPath)
             this->answer(session, this->sync.relay().snapshot());
         else if (uri.getPath() == changesPath && revision)
-            this->answerChanges(session, *revision);
+            this->answerChanges(session,
+                { *revision, readNumber(uri, "observation").value_or(0),
+                    Milliseconds { static_cast<double>(readNumber(uri, "wait").value_or(0)) } });
+        else if (uri.getPath() == observationsPath)
+            this->takeReport(session, request);
         else
             session->refuse({ HTTPResponse::HTTP_NOT_FOUND, "No such resource", "Run the same version on all nodes" });
+    } catch (Error const& error) {
+        session->refuse({ HTTPResponse::HTTP_BAD_REQUEST, error.detail(), error.remedy() });
     } catch (Poco::Exception const& exception) {
         session->refuse(
             { HTTPResponse::HTTP_BAD_REQUEST, exception.displayText(), "Run the same version on all nodes" });
     }
 }
 
-void RelayServer::answerChanges(HttpServerSession::Pointer const& session, uint64_t revision)
+RelayedNews RelayServer::newsFor(RelayQuestion const& question) const
+{
+    auto news = this->sync.relay().changesAfter(question.revision);
+    news.observations = this->feed.after(question.observation, Clock::now());
+    news.lastObservation = this->feed.last();
+    return news;
+}
+
+void RelayServer::answerChanges(HttpServerSession::Pointer const& session, RelayQuestion question)
 {
     auto& relay = this->sync.relay();
-    auto news = relay.changesAfter(revision);
-    if (news.status != RegistryStatus::Ok || relay.hasChangesAfter(revision)) {
+    auto news = this->newsFor(question);
+    if (news.status != RegistryStatus::Ok || relay.hasChangesAfter(question.revision)) {
         this->answer(session, std::move(news));
         return;
     }
-    auto const answerNow = [this, session, revision] {
+    auto const answerNow = [this, session, question] {
         this->stopWaiting(session);
-        this->answer(session, this->sync.relay().changesAfter(revision));
+        this->answer(session, this->newsFor(question));
     };
-    this->waiting[session.get()]
-        = { relay.wait(answerNow), this->loop.schedule(Clock::now() + longestWait, answerNow) };
+    this->waiting[session.get()] = { relay.wait(answerNow),
+        this->loop.schedule(Clock::now() + std::min(question.wait, longestWait), answerNow), answerNow };
+    if (!news.observations.empty())
+        this->flushSoon();
+}
+
+void RelayServer::takeReport(HttpServerSession::Pointer const& session, HttpServerRequest const& request)
+{
+    auto const observations = readObservations(request.body);
+    this->sync.takeObservations(observations);
+    this->publish(observations);
+    HTTPResponse head(HTTPResponse::HTTP_OK);
+    session->respond(head, "");
+}
+
+void RelayServer::publish(std::span<TargetObservation const> observations)
+{
+    this->feed.append(observations, Clock::now());
+    this->flushSoon();
+}
+
+void RelayServer::flushSoon()
+{
+    if (this->flushPending)
+        return;
+    this->flushPending = true;
+    auto const period
+        = std::max(shortestFlushPeriod, flushPeriodPerFollower * static_cast<double>(this->waiting.size()));
+    this->loop.schedule(Clock::now() + period, [this] { this->flush(); });
+}
+
+void RelayServer::flush()
+{
+    this->flushPending = false;
+    std::vector<std::function<void()>> answers;
+    for (auto const& [session, entry] : this->waiting)
+        answers.push_back(entry.answerNow);
+    for (auto const& answerNow : answers)
+        answerNow();
 }
 
 void RelayServer::stopWaiting(HttpServerSession::Pointer const& session)
--- a/Tests/Gateway/GatewayFixture.h
+++ b/Tests/Gateway/GatewayFixture.h
@@ -27,6 +27,7 @@
     std::vector<std::shared_ptr<Timer>> timers;
     std::vector<std::string> lines;
     std::vector<ProxiedAnswer> answers;
+    std::vector<std::vector<TargetObservation>> shared;
     Gateway gateway;
 
     explicit GatewayFixture(ExtraAttemptBudget::Limits budget = { 1, 5, 10000_ms })
@@ -50,6 +51,9 @@
         result.now = [this] { return this->time; };
         result.connectionShare = [](uint32_t) { return 10U; };
         result.closeIdle = [](std::string const&) {};
+        result.shareObservations = [this](std::vector<TargetObservation>&& observations) {
+            this->shared.push_back(std::move(observations));
+        };
         result.random = [] { return 0.0; };
         result.log = [this](std::string const& line) { this->lines.push_back(line); };
         return result;
--- a/Tests/Gateway/TestRegistrySync.cpp
+++ b/Tests/Gateway/TestRegistrySync.cpp
@@ -11,6 +11,7 @@
     std::vector<std::function<void(RegistryReply &&)>> lists;
     std::vector<std::pair<uint64_t, std::function<void(RegistryReply &&)>>> watches;
     std::vector<std::pair<std::string, std::function<void(RelayedNews &&)>>> follows;
+    std::vector<RelayQuestion> questions;
     std::vector<std::function<void(RelayedNews &&)>> copies;
     RegistrySync sync { fixture.gateway, {}, hooks() };
     RegistrySync follower { fixture.gateway, { { "relay-1", "relay-2" }, false }, hooks() };
@@ -24,9 +25,11 @@
         result.watch = [this](uint64_t revision, Milliseconds, std::function<void(RegistryReply &&)> done) {
             this->watches.emplace_back(revision, std::move(done));
         };
-        result.follow = [this](std::string const& relay, uint64_t, std::function<void(RelayedNews &&)> done) {
-            this->follows.emplace_back(relay, std::move(done));
-        };
+        result.follow
+            = [this](std::string const& relay, RelayQuestion question, std::function<void(RelayedNews &&)> done) {
+                  this->questions.push_back(question);
+                  this->follows.emplace_back(relay, std::move(done));
+              };
         result.copy = [this](std::string const&, std::function<void(RelayedNews &&)> done) {
             this->copies.push_back(std::move(done));
         };
@@ -199,17 +202,66 @@
     STRCMP_EQUAL(follows[0].first.c_str(), follows[1].first.c_str());
 }
 
+// Guards against a slow target that every node has to find out about by itself.
+TEST(RegistrySync, FollowerBelievesWhatOtherNodesLearned)
+{
+    follower.start();
+    lists[0](reply(5, { target("t1") }));
+    auto some = news(5, {});
+    some.observations = { { "t1", 8, 20_ms }, { "unknown", 8, 0_ms } };
+    some.lastObservation = 3;
+    follows[0].second(std::move(some));
+    auto const known = fixture.gateway.shared().directory.find("t1");
+    CHECK(known->slowness(fixture.time) > 7);
+    LONGS_EQUAL(3, questions.at(1).observation);
+    // Another relay numbers its observations itself.
+    follows[1].second(noNews(RegistryStatus::Failed));
+    watches[0].second(reply(6, {}));
+    LONGS_EQUAL(0, questions.at(2).observation);
+}
+
+// Guards against a follower that waits at a relay until its news are too old, and against one that leaves a relay whose
+// news are in time.
+TEST(RegistrySync, QuestionEndsBeforeTheNewsAreTooOld)
+{
+    follower.start();
+    lists[0](reply(5, {}));
+    LONGS_EQUAL(800, questions.at(0).wait.value);
+    follows[0].second(news(5, {}, 2000_ms));
+    LONGS_EQUAL(400, questions.at(1).wait.value);
+    follows[1].second(news(5, {}, 2390_ms));
+    LONGS_EQUAL(100, questions.at(2).wait.value);
+    LONGS_EQUAL(0, watches.size());
+}
+
+// Guards against a call to the registry for each of many changes while no relay can be asked.
+TEST(RegistrySync, FollowerWithoutARelayPausesAfterChanges)
+{
+    follower.start();
+    lists[0](reply(5, {}));
+    follows[0].second(noNews(RegistryStatus::Failed));
+    watches[0].second(reply(6, { configuration(4) }));
+    LONGS_EQUAL(1, follows.size());
+    fixture.advance(500_ms);
+    follows.at(1).second(noNews(RegistryStatus::Failed));
+    watches.at(1).second(reply(7, { configuration(5) }));
+    LONGS_EQUAL(2, watches.size());
+    fixture.advance(500_ms);
+    LONGS_EQUAL(3, watches.size());
+}
+
 // Guards against a follower whose relay is cut off from the registry.
 TEST(RegistrySync, OldNewsSendTheFollowerToTheRegistry)
 {
     follower.start();
     lists[0](reply(5, { configuration(3) }));
-    follows[0].second(news(5, {}, 2000_ms));
+    follows[0].second(news(5, {}, 2500_ms));
     LONGS_EQUAL(1, watches.size());
     LONGS_EQUAL(5, watches[0].first);
     CHECK(logged("relay-left"));
     watches[0].second(reply(6, { configuration(4) }));
     LONGS_EQUAL(4, fixture.gateway.version());
+    fixture.advance(500_ms);
     LONGS_EQUAL(2, follows.size());
     CHECK(follows[0].first != follows[1].first);
     // With no relay left the registry is asked.
