Share failures of attempts between nodes

Change: an attempt that fails is an observation for the other nodes when the node believed in fewer failures. A node most of whose attempts fail shares none: the cause is its own.

--- a/Libraries/Gateway/ObservationOutbox.h
+++ b/Libraries/Gateway/ObservationOutbox.h
@@ -21,18 +21,25 @@
     explicit ObservationOutbox(Hooks hooks);
 
     /// The last observation of a target counts.
-    void add(std::string const& target, double slowdown);
+    void addSlowdown(std::string const& target, double slowdown) { this->add(target, slowdown); }
+    /// Ignored while most attempts of this node fail, because then the cause lies with the node.
+    void addFailure(std::string const& target);
+    /// Counts the end of each attempt.
+    void onAttempt(bool failed);
 
 private:
     struct Pending {
-        double slowdown { 1 };
+        std::optional<double> slowdown;
         Milliseconds at;
     };
 
+    void add(std::string const& target, std::optional<double> slowdown);
     void flush();
 
     Hooks hooks;
     std::map<std::string, Pending> pending;
+    /// Moving average.
+    double failureShare { 0 };
 };
 
 } // namespace Toucan
--- a/Libraries/Gateway/RegistrySync.cpp
+++ b/Libraries/Gateway/RegistrySync.cpp
@@ -171,7 +171,11 @@
         auto const target = this->context.directory.find(observation.target);
         if (!target)
             continue;
-        target->onSlowdown(observation.slowdown, now - observation.age);
+        auto const at = now - observation.age;
+        if (observation.slowdown)
+            target->onSlowdown(*observation.slowdown, at);
+        else
+            target->onPeerFailure(at);
         this->context.metrics.count("observations_taken");
     }
 }
--- a/Libraries/Gateway/TargetObservation.h
+++ b/Libraries/Gateway/TargetObservation.h
@@ -2,6 +2,7 @@
 
 #include "Base/Clock.h"
 
+#include <optional>
 #include <string>
 
 namespace Toucan {
@@ -10,9 +11,9 @@
 struct TargetObservation {
     /// Id of the target's registration.
     std::string target;
-    /// As in ReportedLoad.
-    double slowdown { 1 };
-    /// Time since the target reported it.
+    /// As in ReportedLoad; empty when an attempt at the target failed.
+    std::optional<double> slowdown;
+    /// Time since it was observed.
     Milliseconds age;
 };
 
