Send hedges later while extra attempts are scarce

Cause: while many targets are slow, a node spends its extra attempts on the first attempts that pass the usual hedge delay; part of them would have answered within the objective, and none is left for those that stand still. Ruled out: keeping hedges back by what they complete (an earlier failed try). Change: beyond half of a shard's budget the hedge delay grows from the usual one to 0.55 of the objective.

--- a/Libraries/Gateway/ExtraAttemptBudget.cpp
+++ b/Libraries/Gateway/ExtraAttemptBudget.cpp
@@ -42,25 +42,35 @@
     this->currentSlice(this->accountOf(service), now).requests += 1;
 }
 
-bool ExtraAttemptBudget::tryTake(std::string const& service, Use use, Milliseconds now)
+ExtraAttemptBudget::Balance ExtraAttemptBudget::balance(Account const& account, int64_t currentNumber) const
 {
-    auto& account = this->accountOf(service);
-    auto& current = this->currentSlice(account, now);
     double requests = 0;
     double extras = 0;
     for (auto const& slice : account.slices) {
-        auto const age = current.number - slice.number;
+        auto const age = currentNumber - slice.number;
         // The oldest slices lie partly outside the window: their spending counts, their requests do not.
         if (slice.number >= 0 && age < static_cast<int64_t>(slicesPerWindow))
             requests += slice.requests;
         if (slice.number >= 0 && age <= static_cast<int64_t>(slicesPerWindow))
             extras += slice.extras;
     }
-    auto const budget = this->limits.ratio * requests + this->limits.allowance + account.rounding;
+    return { this->limits.ratio * requests + this->limits.allowance + account.rounding, extras };
+}
+
+double ExtraAttemptBudget::spentShare(std::string const& service, Milliseconds now)
+{
+    auto const [budget, extras] = this->balance(this->accountOf(service), this->sliceNumber(now));
+    return budget > 0 ? std::min(extras / budget, 1.0) : 1;
+}
+
+bool ExtraAttemptBudget::tryTake(std::string const& service, Use use, Milliseconds now)
+{
+    auto& account = this->accountOf(service);
+    auto const [budget, extras] = this->balance(account, this->sliceNumber(now));
     bool const reserves = use == Use::Hedge && budget > indivisibleBudget;
     if (extras + 1 > (reserves ? std::max(indivisibleBudget, budget * hedgePart) : budget))
         return false;
-    current.extras += 1;
+    this->currentSlice(account, now).extras += 1;
     return true;
 }
 
--- a/Libraries/Gateway/ExtraAttemptBudget.h
+++ b/Libraries/Gateway/ExtraAttemptBudget.h
@@ -38,6 +38,8 @@
 
     /// A caller's request for the service was taken.
     void onRequest(std::string const& service, Milliseconds now);
+    /// Share of the service's budget that is spent, 0 to 1.
+    double spentShare(std::string const& service, Milliseconds now);
     /// Takes one extra attempt. Returns false when the budget is spent.
     bool tryTake(std::string const& service, Use use, Milliseconds now);
 
@@ -57,6 +59,12 @@
     };
 
     int64_t sliceNumber(Milliseconds now) const;
+    struct Balance {
+        double budget { 0 };
+        double extras { 0 };
+    };
+
+    Balance balance(Account const& account, int64_t currentNumber) const;
     Account& accountOf(std::string const& service);
     Slice& currentSlice(Account& account, Milliseconds now) const;
 
--- a/Libraries/Gateway/GatewayRequest.cpp
+++ b/Libraries/Gateway/GatewayRequest.cpp
@@ -149,7 +149,8 @@
     bool const idempotent = this->route.repeatability == Repeatability::Idempotent;
     part.hedgeAt.reset();
     if (idempotent && part.runs + part.runningAttempts() < this->route.maximumAttempts)
-        part.hedgeAt = now + this->context.latencies.hedgeDelay(this->route, now);
+        part.hedgeAt = now
+            + this->context.latencies.hedgeDelay(this->route, this->context.budget.spentShare(part.service, now), now);
     part.attempts[attemptIndex].cancel = this->context.hooks.send(
         std::move(message), [self = this->shared_from_this(), partIndex, attemptIndex](AttemptReply&& reply) {
             self->onReply(partIndex, attemptIndex, std::move(reply));
--- a/Libraries/Gateway/LatencyBook.cpp
+++ b/Libraries/Gateway/LatencyBook.cpp
@@ -12,6 +12,10 @@
 /// A hedge must leave the second attempt time to answer within the objective.
 constexpr double earliestHedgeShare = 0.1;
 constexpr double latestHedgeShare = 0.4;
+/// While more than this part of the extra attempts is left, hedges are sent as early as the latencies suggest.
+constexpr double plentyShare = 0.5;
+/// The last extra attempts are sent when a usual attempt can only just answer within the objective.
+constexpr double scarceHedgeShare = 0.55;
 
 void LatencyBook::add(Route const& route, Milliseconds latency, Milliseconds now)
 {
@@ -25,16 +29,16 @@
     return found == this->byRoute.end() ? assumed : found->second.quantile(0.5, now).value_or(assumed);
 }
 
-Milliseconds LatencyBook::hedgeDelay(Route const& route, Milliseconds now) const
+Milliseconds LatencyBook::hedgeDelay(Route const& route, double spentShare, Milliseconds now) const
 {
     auto const latest = route.objective * latestHedgeShare;
-    auto const found = this->byRoute.find(route.name);
-    if (found == this->byRoute.end())
-        return latest;
-    auto const slow = found->second.quantile(hedgeQuantile, now);
-    if (!slow)
-        return latest;
-    return std::clamp(*slow * hedgeMargin, route.objective * earliestHedgeShare, latest);
+    auto delay = latest;
+    if (auto const found = this->byRoute.find(route.name); found != this->byRoute.end()) {
+        if (auto const slow = found->second.quantile(hedgeQuantile, now))
+            delay = std::clamp(*slow * hedgeMargin, route.objective * earliestHedgeShare, latest);
+    }
+    auto const scarcity = std::clamp((spentShare - plentyShare) / (1 - plentyShare), 0.0, 1.0);
+    return delay + (route.objective * scarceHedgeShare - delay) * scarcity;
 }
 
 } // namespace Toucan
--- a/Tests/Gateway/TestGatewayParts.cpp
+++ b/Tests/Gateway/TestGatewayParts.cpp
@@ -439,9 +439,21 @@
 {
     LatencyBook book;
     auto const route = routeOf("r", "a", "/");
-    DOUBLES_EQUAL(40, book.hedgeDelay(route, {}).value, 0.1);
+    DOUBLES_EQUAL(40, book.hedgeDelay(route, 0, {}).value, 0.1);
     for (int count = 0; count < 100; ++count)
         book.add(route, Milliseconds { count < 95 ? 12.0 : 500.0 }, 10_ms);
-    DOUBLES_EQUAL(14.4, book.hedgeDelay(route, 100_ms).value, 1);
+    DOUBLES_EQUAL(14.4, book.hedgeDelay(route, 0, 100_ms).value, 1);
     DOUBLES_EQUAL(12, book.typical(route, 100_ms).value, 1);
 }
+
+// Guards against the last extra attempts of a window that go to attempts that would have answered by themselves.
+TEST(LatencyBook, HedgesComeLaterWhileExtraAttemptsAreScarce)
+{
+    LatencyBook book;
+    auto const route = routeOf("r", "a", "/");
+    for (int count = 0; count < 100; ++count)
+        book.add(route, 12_ms, 10_ms);
+    DOUBLES_EQUAL(book.hedgeDelay(route, 0, 100_ms).value, book.hedgeDelay(route, 0.5, 100_ms).value, 1e-9);
+    CHECK(book.hedgeDelay(route, 0.8, 100_ms) > book.hedgeDelay(route, 0.5, 100_ms));
+    DOUBLES_EQUAL(55, book.hedgeDelay(route, 1, 100_ms).value, 1e-9);
+}
