Let new connections wait for resets of full targets after a restart

Ruled out: the nodes' start (configuration in force 0.2 to 0.4 s after power), the store. Change: ConnectionSettling: after such a reset, for 3 s, and for 5 s after any start but the first of the system, a new connection gets its request only when it has stayed open for the time that the resets take. A reset then means 'not sent': the attempt costs nothing and the next target is asked.

--- a/Libraries/GatewayNode/GatewayServer.cpp
+++ b/Libraries/GatewayNode/GatewayServer.cpp
@@ -15,6 +15,10 @@
 /// Kept connections count against the target's limit, which many nodes share; a node seldom needs an idle one again
 /// after this time.
 constexpr Milliseconds targetIdleTimeout { 4000 };
+/// A full target resets a new connection within the time that it takes to accept it, 6 ms at most so far.
+constexpr Milliseconds targetSettling { 20 };
+/// Targets close the connections of a process that was killed within this time.
+constexpr Milliseconds lingeringConnections { 5000 };
 /// Largest answer of a target that is buffered.
 constexpr size_t targetBodyBytes = 4194304;
 /// Most callers' connections; each costs a descriptor and some KB.
@@ -34,7 +38,7 @@
     , pool(this->loop,
           { { 16384, targetBodyBytes }, targetIdleTimeout, targetConnectTimeout,
               HttpMessageReader::UnframedBody::UntilClose,
-              [this] { this->gateway.shared().metrics.count("target_connections"); } })
+              [this] { this->gateway.shared().metrics.count("target_connections"); }, targetSettling })
     , callers(this->loop, this->settings.callerListen, this->callerLimits(), this->createCallerHooks())
     , readiness(this->loop, this->settings.readyListen, { {}, adminConnections },
           { [this](HttpServerSession::Pointer const& session, HttpServerRequest&&) { this->answerReadiness(session); },
@@ -51,6 +55,8 @@
                                           this->answerMetrics(session, request);
                                       },
                 {}, {}, {} });
+    if (this->settings.restarted)
+        this->pool.expectResets(Clock::now() + lingeringConnections);
     this->loop.setTurnHook([this] { this->onTurn(); });
 }
 
--- a/Libraries/GatewayNode/GatewaySettings.cpp
+++ b/Libraries/GatewayNode/GatewaySettings.cpp
@@ -43,6 +43,7 @@
     settings.balancerLag = milliseconds("balancerLagMs", settings.balancerLag);
     settings.connectionSharers
         = static_cast<uint32_t>(reader.integer("connectionSharers", settings.connectionSharers, { 1, mostSharers }));
+    settings.restarted = reader.boolean("restarted", settings.restarted);
     if (reader.has("extraAttempts")) {
         SettingsReader budget(reader.object("extraAttempts"), reader.pathOf("extraAttempts"), faults);
         readExtraAttempts(budget, settings);
--- a/Libraries/GatewayNode/GatewaySettings.h
+++ b/Libraries/GatewayNode/GatewaySettings.h
@@ -27,6 +27,8 @@
     Milliseconds balancerLag { 2600 };
     /// Nodes that may share the connections of a target: the usual ones, and those that replace or join them.
     uint32_t connectionSharers { 11 };
+    /// Whether the connections of an earlier process of this node, or of all nodes, may still count at the targets.
+    bool restarted { false };
     ExtraAttemptBudget::Limits extraAttempts;
 };
 
--- a/Libraries/Net/HttpClientPool.cpp
+++ b/Libraries/Net/HttpClientPool.cpp
@@ -87,9 +87,20 @@
 
         void start(PendingPointer next, std::string const& endpoint)
         {
-            this->pending = std::move(next);
-            this->resetReader();
-            this->sentBefore = this->channel->sent();
+            this->assign(std::move(next));
+            this->sendRequest(endpoint);
+        }
+
+        /// Takes the exchange now and sends its request after the delay.
+        void startSettled(PendingPointer next, std::string const& endpoint, Milliseconds delay)
+        {
+            this->assign(std::move(next));
+            this->settleTimer = this->loop.schedule(
+                Clock::now() + delay, [self = this->shared_from_this(), endpoint] { self->sendRequest(endpoint); });
+        }
+
+        void sendRequest(std::string const& endpoint)
+        {
             auto& exchange = this->pending->exchange;
             if (exchange.beforeSending)
                 exchange.beforeSending(exchange.head);
@@ -110,10 +121,19 @@
         /// Time after which the server closes the connection, if it said so.
         std::optional<Milliseconds> idleTimeout() const { return this->serverIdleTimeout; }
 
+        Milliseconds openedAt { Clock::now() };
         EventLoop::Timer idleTimer;
         EventLoop::Timer connectTimer;
+        EventLoop::Timer settleTimer;
 
     private:
+        void assign(PendingPointer next)
+        {
+            this->pending = std::move(next);
+            this->resetReader();
+            this->sentBefore = this->channel->sent();
+        }
+
         void resetReader()
         {
             this->reader = HttpMessageReader(HttpMessageReader::Kind::Response, this->sizes, this->unframedBody);
@@ -199,9 +219,10 @@
 /// Connections and waiting exchanges of one address.
 class HttpClientPool::Endpoint : public std::enable_shared_from_this<Endpoint> {
 public:
-    Endpoint(EventLoop& loop, Limits limits, std::string name)
+    Endpoint(EventLoop& loop, Limits limits, ConnectionSettling& settling, std::string name)
         : loop(loop)
         , limits(std::move(limits))
+        , settling(settling)
         , name(std::move(name))
     {
     }
@@ -268,6 +289,7 @@
         for (auto const& connection : std::exchange(this->connections, {})) {
             this->loop.cancel(connection->idleTimer);
             this->loop.cancel(connection->connectTimer);
+            this->loop.cancel(connection->settleTimer);
             if (auto const pending = connection->takeCurrent())
                 this->loop.cancel(pending->timer);
             connection->close();
@@ -319,7 +341,11 @@
         this->connections.push_back(connection);
         connection->connectTimer = this->loop.schedule(Clock::now() + this->limits.connectTimeout,
             [self = this->shared_from_this(), connection] { self->onConnectTimeout(connection); });
-        connection->start(pending, this->name);
+        auto const delay = this->settling.delay(Clock::now());
+        if (delay > Milliseconds {})
+            connection->startSettled(pending, this->name, delay);
+        else
+            connection->start(pending, this->name);
         return true;
     }
 
@@ -338,6 +364,9 @@
     void onFailed(Pointer const& connection, HttpTransport transport)
     {
         auto const self = this->shared_from_this();
+        bool const unused = !connection->hasServed() && !connection->hasReceived();
+        if (unused && connection->isConnected())
+            this->settling.onEarlyReset(Clock::now() - connection->openedAt, Clock::now());
         this->remove(connection);
         auto const pending = connection->takeCurrent();
         if (pending)
@@ -414,6 +443,7 @@
     {
         this->loop.cancel(connection->idleTimer);
         this->loop.cancel(connection->connectTimer);
+        this->loop.cancel(connection->settleTimer);
         connection->close();
         std::erase(this->idle, connection);
         std::erase(this->connections, connection);
@@ -444,6 +474,7 @@
 
     EventLoop& loop;
     Limits limits;
+    ConnectionSettling& settling;
     std::string name;
     uint32_t connectionLimit { 1 };
     std::vector<Pointer> connections;
@@ -454,6 +485,7 @@
 HttpClientPool::HttpClientPool(EventLoop& loop, Limits limits)
     : loop(loop)
     , limits(std::move(limits))
+    , settling(this->limits.longestSettling)
 {
 }
 
@@ -467,7 +499,7 @@
 {
     auto& found = this->endpoints[endpoint];
     if (!found)
-        found = std::make_shared<Endpoint>(this->loop, this->limits, endpoint);
+        found = std::make_shared<Endpoint>(this->loop, this->limits, this->settling, endpoint);
     return found->send(connections, std::move(exchange));
 }
 
--- a/Libraries/Net/HttpClientPool.h
+++ b/Libraries/Net/HttpClientPool.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Base/Clock.h"
+#include "Net/ConnectionSettling.h"
 #include "Net/EventLoop.h"
 #include "Net/HttpMessageReader.h"
 
@@ -82,6 +83,8 @@
         HttpMessageReader::UnframedBody unframedBody { HttpMessageReader::UnframedBody::Refused };
         /// Called for each connection that is opened.
         std::function<void()> connecting;
+        /// Longest wait of a new connection for a reset by a full server; see ConnectionSettling.
+        Milliseconds longestSettling {};
         /// Exchanges that may wait for a connection to one endpoint.
         size_t waiting { 1024 };
     };
@@ -103,12 +106,15 @@
     /// exchanges that wait end with NoConnection.
     void limit(std::string const& endpoint, uint32_t connections);
     size_t openConnections(std::string const& endpoint) const;
+    /// New connections wait for resets of full servers until this time, although none was seen.
+    void expectResets(Milliseconds until) { this->settling.expectResets(until); }
 
 private:
     class Endpoint;
 
     EventLoop& loop;
     Limits limits;
+    ConnectionSettling settling;
     std::map<std::string, std::shared_ptr<Endpoint>> endpoints;
 };
 
--- a/Tests/Net/TestHttpClientPool.cpp
+++ b/Tests/Net/TestHttpClientPool.cpp
@@ -29,6 +29,7 @@
         limits.idleTimeout = 100_ms;
         limits.sizes = { 2048, 10000 };
         limits.waiting = 2;
+        limits.longestSettling = 60_ms;
         this->pool = std::make_unique<HttpClientPool>(this->loop, limits);
     }
     void teardown() override { this->pool.reset(); }
@@ -423,3 +424,71 @@
     }
     CHECK(this->results.at(0).transport == HttpTransport::Broken);
 }
+
+static void reset(RawPeer& peer)
+{
+    peer.socket.setLinger(true, 0);
+    peer.socket.close();
+}
+
+// Guards against requests that count as "may have run" because a server that is full accepts connections and resets
+// them a moment later. Only the first of them is sent.
+TEST(HttpClientPool, RequestsAreNotSentToAServerThatResetsNewConnections)
+{
+    this->send("first");
+    auto first = this->accept();
+    first.receiveUntilText(this->loop, 500_ms, "first");
+    reset(first);
+    this->waitForResults(1);
+    this->checkResult(0, HttpTransport::Broken);
+
+    this->send("second");
+    auto second = this->accept();
+    second.receive();
+    STRCMP_EQUAL("", second.received.c_str());
+    reset(second);
+    this->waitForResults(2);
+    this->checkResult(1, HttpTransport::ConnectFailed);
+
+    this->send("third");
+    auto third = this->accept();
+    third.receiveUntilText(this->loop, 500_ms, "third");
+    third.send(response("answer"));
+    this->waitForResults(3);
+    this->checkResult(2, HttpTransport::Answered);
+}
+
+// Guards against a wait that outlives its exchange.
+TEST(HttpClientPool, CancelledExchangeIsNotSentAfterTheWait)
+{
+    this->pool->expectResets(Clock::now() + 1000_ms);
+    HttpExchange exchange;
+    exchange.head = Poco::Net::HTTPRequest("GET", "/cancelled");
+    exchange.timeout = 500_ms;
+    exchange.done = [this](HttpClientResult&& result) { this->results.push_back(std::move(result)); };
+    auto const handle = this->pool->send(this->listener.address(), 1, std::move(exchange));
+    auto peer = this->accept();
+    this->pool->cancel(this->listener.address(), handle);
+    peer.receiveUntilClosed(this->loop, 200_ms);
+    STRCMP_EQUAL("", peer.received.c_str());
+    LONGS_EQUAL(0, this->results.size());
+}
+
+TEST_GROUP(ConnectionSettling) {};
+
+// Guards against a wait without a cause, and against one that is too short for the server or lasts too long.
+TEST(ConnectionSettling, FollowsTheResetsThatWereSeen)
+{
+    ConnectionSettling settling(20_ms);
+    DOUBLES_EQUAL(0, settling.delay(1000_ms).value, 1e-9);
+    settling.onEarlyReset(100_ms, 1000_ms);
+    DOUBLES_EQUAL(0, settling.delay(1000_ms).value, 1e-9);
+    settling.onEarlyReset(8_ms, 1000_ms);
+    CHECK(settling.delay(1100_ms) > 8_ms);
+    settling.onEarlyReset(6_ms, 1200_ms);
+    CHECK(settling.delay(1300_ms) > 8_ms);
+    DOUBLES_EQUAL(0, settling.delay(6000_ms).value, 1e-9);
+    ConnectionSettling off({});
+    off.onEarlyReset(1_ms, 1000_ms);
+    DOUBLES_EQUAL(0, off.delay(1000_ms).value, 1e-9);
+}
