Log what nodes learn of targets from each other

Cause: a peer's observation changes the choice of targets, and no line told so. Ruled out: a line for each target; one line a message keeps the volume bounded.

--- a/Libraries/Gateway/RegistrySync.cpp
+++ b/Libraries/Gateway/RegistrySync.cpp
@@ -166,6 +166,9 @@
 
 void RegistrySync::takeObservations(std::span<TargetObservation const> observations)
 {
+    if (observations.empty())
+        return;
+    this->context.log.line("observations-taken", { { "targets", toString(observations) } });
     auto const now = this->now();
     for (auto const& observation : observations) {
         auto const target = this->context.directory.find(observation.target);
--- /dev/null
+++ b/Libraries/Gateway/TargetObservation.cpp
@@ -0,0 +1,17 @@
+#include "Gateway/TargetObservation.h"
+
+#include <Poco/NumberFormatter.h>
+
+namespace Toucan {
+
+std::string toString(std::span<TargetObservation const> observations)
+{
+    std::string text;
+    for (auto const& observation : observations) {
+        text += (text.empty() ? "" : ",") + observation.target + ":";
+        text += observation.slowdown ? Poco::NumberFormatter::format(*observation.slowdown, 2) : "failed";
+    }
+    return text;
+}
+
+} // namespace Toucan
--- a/Libraries/Gateway/TargetObservation.h
+++ b/Libraries/Gateway/TargetObservation.h
@@ -3,6 +3,7 @@
 #include "Base/Clock.h"
 
 #include <optional>
+#include <span>
 #include <string>
 
 namespace Toucan {
@@ -17,4 +18,7 @@
     Milliseconds age;
 };
 
+/// The observations as one text for the log: "TARGET:SLOWDOWN" or "TARGET:failed", separated by commas.
+std::string toString(std::span<TargetObservation const> observations);
+
 } // namespace Toucan
--- a/Tests/Gateway/TestObservations.cpp
+++ b/Tests/Gateway/TestObservations.cpp
@@ -142,6 +142,13 @@
 
 TEST_GROUP(ObservationCodec) {};
 
+// Guards against a change of belief that cannot be traced in the log.
+TEST(ObservationCodec, ObservationsAreDescribedForTheLog)
+{
+    std::vector<TargetObservation> const observations { { "t1", 7.125, 35_ms }, { "t2", {}, 0_ms } };
+    STRCMP_EQUAL("t1:7.13,t2:failed", toString(observations).c_str());
+}
+
 // Guards against observations that change on the way between nodes of one version.
 TEST(ObservationCodec, ReadsWhatItWrites)
 {
