Do not share failures of attempts between nodes

All nodes leave a target at its first failures, which loads the others; a node of a small deployment sees failures soon enough itself. Conclusion: slowdowns are the target's own word and are shared; failures are not.

--- a/Libraries/Gateway/GatewayRequest.cpp
+++ b/Libraries/Gateway/GatewayRequest.cpp
@@ -159,16 +159,6 @@
     return true;
 }
 
-void GatewayRequest::endAttempt(
-    Attempt const& attempt, GatewayTarget::Result result, std::optional<Milliseconds> typical)
-{
-    using Result = GatewayTarget::Result;
-    if (result != Result::Abandoned)
-        this->context.outbox.onAttempt(result == Result::Failed || result == Result::Unreachable);
-    if (attempt.target->onEnded(result, attempt.sentAt, typical, this->now()))
-        this->context.outbox.addFailure(attempt.target->registration().id);
-}
-
 void GatewayRequest::observe(Attempt const& attempt, AttemptOutcome outcome, AttemptReply const& reply)
 {
     using Result = GatewayTarget::Result;
@@ -180,7 +170,7 @@
         result = Result::Unreachable;
     else if (outcome == AttemptOutcome::NotRun)
         result = Result::Shed;
-    this->endAttempt(attempt, result, this->context.latencies.typical(this->route, now));
+    attempt.target->onEnded(result, attempt.sentAt, this->context.latencies.typical(this->route, now), now);
     if (outcome == AttemptOutcome::Success)
         this->context.latencies.add(this->route, now - attempt.sentAt, now);
     if (outcome == AttemptOutcome::WrongTarget)
@@ -190,7 +180,7 @@
     if (reply.transport == AttemptReply::Transport::Answered) {
         auto const load = readLoad(reply.head, this->context.headers);
         if (load && attempt.target->onLoad(*load, now))
-            this->context.outbox.addSlowdown(attempt.target->registration().id, *load->slowdown);
+            this->context.outbox.add(attempt.target->registration().id, *load->slowdown);
     }
     if (outcome == AttemptOutcome::Success)
         return;
@@ -501,7 +491,7 @@
             attempt.running = false;
             // An attempt that is still unanswered after the answer and the time for losers is a sign of trouble.
             auto const result = this->answered ? GatewayTarget::Result::Abandoned : GatewayTarget::Result::Failed;
-            this->endAttempt(attempt, result, std::nullopt);
+            attempt.target->onEnded(result, attempt.sentAt, std::nullopt, this->now());
             if (attempt.cancel)
                 attempt.cancel();
             // Its other connections may have gone silent as well; new ones show whether the target lives.
--- a/Libraries/Gateway/GatewayRequest.h
+++ b/Libraries/Gateway/GatewayRequest.h
@@ -75,7 +75,6 @@
     void setTimeLeft(Poco::Net::HTTPRequest& head) const;
     Poco::Net::HTTPRequest createHead(GatewayTarget const& target) const;
     void onReply(size_t partIndex, size_t attemptIndex, AttemptReply&& reply);
-    void endAttempt(Attempt const& attempt, GatewayTarget::Result result, std::optional<Milliseconds> typical);
     void observe(Attempt const& attempt, AttemptOutcome outcome, AttemptReply const& reply);
     void onSuccess(size_t partIndex, AttemptReply&& reply);
     void onFailure(size_t partIndex, AttemptOutcome outcome, AttemptReply&& reply);
--- a/Libraries/Gateway/GatewayTarget.cpp
+++ b/Libraries/Gateway/GatewayTarget.cpp
@@ -8,10 +8,6 @@
 /// Weight of one observation in the moving averages; about five observations replace an old belief.
 constexpr double slownessWeight = 0.2;
 constexpr double failureWeight = 0.3;
-/// Another node's failure may be due to that node, so it counts less than an own one.
-constexpr double peerFailureWeight = 0.15;
-/// A failure is news while the node believes that fewer attempts fail.
-constexpr double leastSharedFailureShare = 0.2;
 /// A single pause or tail value must not make a target look much slower than it is.
 constexpr double mostSlowness = 5;
 /// Old observations fade, so that a target that gets no requests is tried again.
@@ -82,45 +78,26 @@
     ++this->unreachableInARow;
 }
 
-void GatewayTarget::addFailure(double weight, Milliseconds now)
-{
-    this->failureEstimate = this->failureShare(now) * (1 - weight) + weight;
-    this->failureAt = now;
-}
-
-void GatewayTarget::onPeerFailure(Milliseconds at)
-{
-    if (at >= this->failureAt)
-        this->addFailure(peerFailureWeight, at);
-}
-
-bool GatewayTarget::onEnded(Result result, Milliseconds sentAt, std::optional<Milliseconds> typical, Milliseconds now)
+void GatewayTarget::onEnded(Result result, Milliseconds sentAt, std::optional<Milliseconds> typical, Milliseconds now)
 {
     if (auto const found = std::find(this->starts.begin(), this->starts.end(), sentAt); found != this->starts.end())
         this->starts.erase(found);
     if (result == Result::Abandoned)
-        return false;
-    bool const isNews = result != Result::Shed && this->failureShare(now) < leastSharedFailureShare;
-    if (result == Result::Answered) {
-        this->failureEstimate = this->failureShare(now) * (1 - failureWeight);
-        this->failureAt = now;
-    } else {
-        this->addFailure(failureWeight, now);
-    }
+        return;
+    bool const failed = result != Result::Answered;
+    this->failureEstimate = this->failureShare(now) * (1 - failureWeight) + (failed ? failureWeight : 0);
+    this->failureAt = now;
     if (result == Result::Unreachable) {
         this->block(now);
-        return isNews;
+        return;
     }
     this->unreachableInARow = 0;
     this->blockedUntil = {};
-    if (result != Result::Answered)
-        return isNews;
-    if (!typical || typical->value <= 0)
-        return false;
+    if (result != Result::Answered || !typical || typical->value <= 0)
+        return;
     auto const ratio = std::clamp((now - sentAt).value / typical->value, 0.3, mostSlowness);
     this->slownessEstimate = this->slowness(now) * (1 - slownessWeight) + ratio * slownessWeight;
     this->slownessAt = now;
-    return false;
 }
 
 bool GatewayTarget::onLoad(ReportedLoad load, Milliseconds now)
--- a/Libraries/Gateway/GatewayTarget.h
+++ b/Libraries/Gateway/GatewayTarget.h
@@ -51,15 +51,12 @@
     void refresh(TargetRegistration registration) { this->entry = std::move(registration); }
 
     void onSent(Milliseconds now);
-    /// Returns whether it is a failure that others should know of. `sentAt` is the time given to onSent(); `typical`
-    /// the usual latency of such a request, when known.
-    bool onEnded(Result result, Milliseconds sentAt, std::optional<Milliseconds> typical, Milliseconds now);
+    /// `sentAt` is the time given to onSent(); `typical` the usual latency of such a request, when known.
+    void onEnded(Result result, Milliseconds sentAt, std::optional<Milliseconds> typical, Milliseconds now);
     /// Returns whether the reported slowdown differs so much from what the node believed that others should know.
     bool onLoad(ReportedLoad load, Milliseconds now);
     /// The target reported it to another node at the given time.
     void onSlowdown(double slowdown, Milliseconds at) { this->reported.add(slowdown, at); }
-    /// An attempt of another node failed at the given time.
-    void onPeerFailure(Milliseconds at);
     /// Another target answered at the address: no request is sent until the registration changes.
     void onReplaced() { this->replaced = true; }
 
@@ -78,7 +75,6 @@
 
 private:
     void block(Milliseconds now);
-    void addFailure(double weight, Milliseconds now);
 
     TargetRegistration entry;
     bool sameFailureDomain;
--- a/Libraries/Gateway/ObservationOutbox.h
+++ b/Libraries/Gateway/ObservationOutbox.h
@@ -21,25 +21,18 @@
     explicit ObservationOutbox(Hooks hooks);
 
     /// The last observation of a target counts.
-    void addSlowdown(std::string const& target, double slowdown) { this->add(target, slowdown); }
-    /// Ignored while most attempts of this node fail, because then the cause lies with the node.
-    void addFailure(std::string const& target);
-    /// Counts the end of each attempt.
-    void onAttempt(bool failed);
+    void add(std::string const& target, double slowdown);
 
 private:
     struct Pending {
-        std::optional<double> slowdown;
+        double slowdown { 1 };
         Milliseconds at;
     };
 
-    void add(std::string const& target, std::optional<double> slowdown);
     void flush();
 
     Hooks hooks;
     std::map<std::string, Pending> pending;
-    /// Moving average.
-    double failureShare { 0 };
 };
 
 } // namespace Toucan
--- a/Libraries/Gateway/RegistrySync.cpp
+++ b/Libraries/Gateway/RegistrySync.cpp
@@ -174,11 +174,7 @@
         auto const target = this->context.directory.find(observation.target);
         if (!target)
             continue;
-        auto const at = now - observation.age;
-        if (observation.slowdown)
-            target->onSlowdown(*observation.slowdown, at);
-        else
-            target->onPeerFailure(at);
+        target->onSlowdown(observation.slowdown, now - observation.age);
         this->context.metrics.count("observations_taken");
     }
 }
--- a/Libraries/Gateway/TargetObservation.cpp
+++ b/Libraries/Gateway/TargetObservation.cpp
@@ -9,7 +9,7 @@
     std::string text;
     for (auto const& observation : observations) {
         text += (text.empty() ? "" : ",") + observation.target + ":";
-        text += observation.slowdown ? Poco::NumberFormatter::format(*observation.slowdown, 2) : "failed";
+        text += Poco::NumberFormatter::format(observation.slowdown, 2);
     }
     return text;
 }
--- a/Libraries/Gateway/TargetObservation.h
+++ b/Libraries/Gateway/TargetObservation.h
@@ -2,7 +2,6 @@
 
 #include "Base/Clock.h"
 
-#include <optional>
 #include <span>
 #include <string>
 
@@ -12,13 +11,13 @@
 struct TargetObservation {
     /// Id of the target's registration.
     std::string target;
-    /// As in ReportedLoad; empty when an attempt at the target failed.
-    std::optional<double> slowdown;
-    /// Time since it was observed.
+    /// As in ReportedLoad.
+    double slowdown { 1 };
+    /// Time since the target reported it.
     Milliseconds age;
 };
 
-/// The observations as one text for the log: "TARGET:SLOWDOWN" or "TARGET:failed", separated by commas.
+/// The observations as one text for the log: "TARGET:SLOWDOWN", separated by commas.
 std::string toString(std::span<TargetObservation const> observations);
 
 } // namespace Toucan
--- a/Libraries/GatewayNode/RelayCodec.cpp
+++ b/Libraries/GatewayNode/RelayCodec.cpp
@@ -7,7 +7,7 @@
 
 namespace Toucan {
 
-/// Slowdowns are written as whole percents; 0 stands for a failure.
+/// Slowdowns are written as whole percents.
 constexpr double percent = 100;
 
 static Json::UInt64 wholeMilliseconds(Milliseconds duration)
@@ -21,7 +21,7 @@
     for (auto const& observation : observations) {
         Json::Value entry(Json::arrayValue);
         entry.append(observation.target);
-        entry.append(Json::UInt64 { static_cast<uint64_t>(observation.slowdown.value_or(0) * percent) });
+        entry.append(Json::UInt64 { static_cast<uint64_t>(observation.slowdown * percent) });
         entry.append(wholeMilliseconds(observation.age));
         list.append(std::move(entry));
     }
@@ -37,10 +37,8 @@
         if (!valid)
             throw Error(ErrorKind::InvalidInput, "An observation is not [target, slowdown, age]",
                 "Run the same version on all nodes");
-        TargetObservation observation { entry[0].asString(), {}, Milliseconds { entry[2].asDouble() } };
-        if (entry[1].asUInt() > 0)
-            observation.slowdown = entry[1].asUInt() / percent;
-        observations.push_back(std::move(observation));
+        observations.push_back(
+            { entry[0].asString(), std::max(entry[1].asUInt(), 1U) / percent, Milliseconds { entry[2].asDouble() } });
     }
     return observations;
 }
--- a/Libraries/GatewayNode/RelayCodec.h
+++ b/Libraries/GatewayNode/RelayCodec.h
@@ -13,8 +13,7 @@
 using RegistryDecoder = std::function<std::optional<RegistryEvent>(std::string const& source)>;
 
 /// JSON body that one node sends another: {"revision", "ageMs", "outageEndedMs", "failureDomain", "followers",
-/// "entries": [text], "observations": [[target, slowdown in percent or 0 for a failure, age in ms]],
-/// "lastObservation"}.
+/// "entries": [text], "observations": [[target, slowdown, age in ms]], "lastObservation"}.
 std::string writeRelayedNews(RelayedNews const& news);
 
 /// Throws Error of kind InvalidInput when the body cannot be read.
