Keep a reserve of large budgets from hedges of parts; bound a relay's answer to 64 observations

Change: hedges of parts may use the whole of a budget of up to 8 attempts and 0.75 of a larger one. A relay's answer holds 64 observations at most, so that a follower gets 2 KB in one.

--- a/Libraries/Gateway/ExtraAttemptBudget.cpp
+++ b/Libraries/Gateway/ExtraAttemptBudget.cpp
@@ -8,6 +8,9 @@
 /// Part of the budget that hedges may use; the whole of a budget that is too small to divide.
 constexpr double hedgePart = 0.75;
 constexpr double indivisibleBudget = 2;
+/// The same for hedges of parts: a node of a large deployment has fewer extra attempts than this for a shard and
+/// window.
+constexpr double indivisiblePartBudget = 8;
 
 ExtraAttemptBudget::ExtraAttemptBudget(Limits limits, std::function<double()> random)
     : limits(limits)
@@ -63,12 +66,19 @@
     return budget > 0 ? std::min(extras / budget, 1.0) : 1;
 }
 
+double ExtraAttemptBudget::usable(double budget, Use use)
+{
+    if (use == Use::Retry)
+        return budget;
+    auto const indivisible = use == Use::PartHedge ? indivisiblePartBudget : indivisibleBudget;
+    return std::max(std::min(budget, indivisible), budget * hedgePart);
+}
+
 bool ExtraAttemptBudget::tryTake(std::string const& service, Use use, Milliseconds now)
 {
     auto& account = this->accountOf(service);
     auto const [budget, extras] = this->balance(account, this->sliceNumber(now));
-    bool const reserves = use == Use::Hedge && budget > indivisibleBudget;
-    if (extras + 1 > (reserves ? std::max(indivisibleBudget, budget * hedgePart) : budget))
+    if (extras + 1 > usable(budget, use))
         return false;
     this->currentSlice(account, now).extras += 1;
     return true;
--- a/Libraries/Gateway/ExtraAttemptBudget.h
+++ b/Libraries/Gateway/ExtraAttemptBudget.h
@@ -28,8 +28,8 @@
         /// Runs beside an attempt that may still answer. Leaves a reserve for retries, because a missing retry costs
         /// an answer and a missing hedge only time.
         Hedge,
-        /// A hedge of one of many parts. It may use the whole budget: a part that comes late is missing as much as
-        /// one whose retry was denied.
+        /// A hedge of one of many parts. It may use the whole of a small budget, of which a reserve would be a large
+        /// part: a part that comes late is missing as much as one whose retry was denied.
         PartHedge,
     };
 
@@ -64,6 +64,8 @@
         double extras { 0 };
     };
 
+    /// Part of the budget that extra attempts of this use may fill.
+    static double usable(double budget, Use use);
     Balance balance(Account const& account, int64_t currentNumber) const;
     Account& accountOf(std::string const& service);
     Slice& currentSlice(Account& account, Milliseconds now) const;
--- a/Libraries/Gateway/ObservationFeed.cpp
+++ b/Libraries/Gateway/ObservationFeed.cpp
@@ -6,8 +6,8 @@
 
 /// Older observations are not worth passing on: most disturbances have ended by then.
 constexpr Milliseconds longestAge { 1000 };
-/// Bounds what a follower gets in one answer to about 4 KB.
-constexpr size_t mostEntries = 128;
+/// Bounds what a follower gets in one answer to about 2 KB.
+constexpr size_t mostEntries = 64;
 
 void ObservationFeed::append(std::span<TargetObservation const> observations, Milliseconds now)
 {
--- a/Tests/Gateway/TestGatewayParts.cpp
+++ b/Tests/Gateway/TestGatewayParts.cpp
@@ -85,15 +85,20 @@
     LONGS_EQUAL(0, takeAll(Use::Retry, 10400_ms));
 }
 
-// Guards against parts that are lost although the shard's budget has room for them.
-TEST(ExtraAttemptBudget, HedgesOfPartsMayUseTheWholeBudget)
+// Guards against parts that are lost although the shard's small budget has room for them, and against hedges that leave
+// nothing of a large one to retries. The loads: 2 and 30 requests a second and shard at one node.
+TEST(ExtraAttemptBudget, HedgesOfPartsMayUseTheWholeOfASmallBudget)
 {
     using Use = ExtraAttemptBudget::Use;
-    ExtraAttemptBudget budget({ 0, 8, 10000_ms });
-    int taken = 0;
-    while (budget.tryTake("s", Use::PartHedge, 1000_ms))
-        ++taken;
-    LONGS_EQUAL(8, taken);
+    auto const hedges = [](double allowance) {
+        ExtraAttemptBudget budget({ 0, allowance, 10000_ms });
+        int taken = 0;
+        while (budget.tryTake("s", Use::PartHedge, 1000_ms))
+            ++taken;
+        return taken;
+    };
+    LONGS_EQUAL(6, hedges(6));
+    LONGS_EQUAL(30, hedges(40));
 }
 
 // Guards against the loss of the fraction with which the budget of each of many nodes ends, and against nodes that
--- a/Tests/Gateway/TestObservations.cpp
+++ b/Tests/Gateway/TestObservations.cpp
@@ -91,7 +91,7 @@
         std::vector<TargetObservation> const observations { { "t" + std::to_string(index), 8, 0_ms } };
         feed.append(observations, 1000_ms);
     }
-    CHECK(feed.after(0, 1000_ms).size() <= 128);
+    CHECK(feed.after(0, 1000_ms).size() <= 64);
 }
 
 TEST_GROUP(ObservationCodec) {};
