--- a/Tests/Fuzz/FuzzInputs.cpp
+++ b/Tests/Fuzz/FuzzInputs.cpp
@@ -74,6 +74,11 @@
         R"("entries":["{\"key\":\"servers/i-1\",\"revision\":9,\"tombstone\":true}"]})",
     };
 
+    std::vector<std::string> const reportSamples {
+        R"({"observations":[["i-1",712,35],["i-2",80,0]]})",
+        R"({"observations":[]})",
+    };
+
     std::vector<std::string> const gatewaySettingsSamples {
         R"({"name":"n","failureDomain":"d","callerListen":"127.0.0.1:1","readyListen":"127.0.0.1:2",)"
         R"("registry":"127.0.0.1:3","relays":["127.0.0.1:4"],"extraAttempts":{"ratio":0.2,"allowance":1}})",
@@ -247,6 +252,16 @@
     }
 }
 
+static void readObservationReport(std::string_view text)
+{
+    try {
+        for (auto const& observation : readObservations(text))
+            require(observation.slowdown > 0 && observation.age >= Milliseconds {}, "an observation is out of range");
+    } catch (Error const&) {
+        // Answered 400.
+    }
+}
+
 static void readGatewaySettings(std::string_view text)
 {
     try {
@@ -268,6 +283,7 @@
         { "unframed-response", readUnframedResponse, responseSamples },
         { "store-entry", readStoreEntry, entrySamples },
         { "relayed-item", readRelayedItem, itemSamples },
+        { "observation-report", readObservationReport, reportSamples },
         { "gateway-settings", readGatewaySettings, gatewaySettingsSamples },
     };
     return result;
