Log and count reports of observations that a relay did not take

Cause: read-through of the change: a report whose relay did not answer was dropped without a line. Ruled out: sending it again; the next answers of the targets show the same. Change: RelayClient::report tells why, the node writes observations-lost and counts it; a test with real processes stops the relay and looks for the line, which was missing before.

--- a/Libraries/GatewayNode/GatewayServer.cpp
+++ b/Libraries/GatewayNode/GatewayServer.cpp
@@ -102,7 +102,10 @@
     auto const body = writeObservations(observations);
     for (auto const& relay : this->settings.relays) {
         if (relay != this->settings.relayListen)
-            this->relayClient.report(relay, body);
+            this->relayClient.report(relay, body, [this, relay](std::string const& why) {
+                this->gateway.shared().metrics.count("observation_reports_lost");
+                this->gateway.shared().log.line("observations-lost", { { "relay", relay }, { "why", why } });
+            });
     }
 }
 
--- a/Libraries/GatewayNode/RelayClient.cpp
+++ b/Libraries/GatewayNode/RelayClient.cpp
@@ -30,18 +30,6 @@
     this->call(relay, uri.getPathAndQuery(), std::move(done));
 }
 
-void RelayClient::report(std::string const& relay, std::string const& body)
-{
-    HttpExchange exchange;
-    exchange.head = Poco::Net::HTTPRequest("POST", RelayServer::observationsPath, Poco::Net::HTTPMessage::HTTP_1_1);
-    exchange.head.setContentType("application/json");
-    exchange.body = std::make_shared<std::string const>(body);
-    exchange.whenBusy = HttpExchange::WhenBusy::Drop;
-    exchange.timeout = reportTimeout;
-    exchange.done = [](HttpClientResult&&) {};
-    this->pool.send(relay, connectionsPerRelay, std::move(exchange));
-}
-
 void RelayClient::copy(std::string const& relay, std::function<void(RelayedNews&&)> done)
 {
     this->call(relay, RelayServer::entriesPath, std::move(done));
@@ -59,6 +47,22 @@
     }
 }
 
+void RelayClient::report(
+    std::string const& relay, std::string const& body, std::function<void(std::string const&)> lost)
+{
+    HttpExchange exchange;
+    exchange.head = Poco::Net::HTTPRequest("POST", RelayServer::observationsPath, Poco::Net::HTTPMessage::HTTP_1_1);
+    exchange.head.setContentType("application/json");
+    exchange.body = std::make_shared<std::string const>(body);
+    exchange.whenBusy = HttpExchange::WhenBusy::Drop;
+    exchange.timeout = reportTimeout;
+    exchange.done = [lost = std::move(lost)](HttpClientResult&& result) {
+        if (result.transport != HttpTransport::Answered || result.head.getStatus() != HTTPResponse::HTTP_OK)
+            lost(describe(result));
+    };
+    this->pool.send(relay, connectionsPerRelay, std::move(exchange));
+}
+
 void RelayClient::call(std::string const& relay, std::string const& target, std::function<void(RelayedNews&&)> done)
 {
     HttpExchange exchange;
--- a/Libraries/GatewayNode/RelayClient.h
+++ b/Libraries/GatewayNode/RelayClient.h
@@ -15,9 +15,9 @@
 
     void follow(std::string const& relay, RelayQuestion question, std::function<void(RelayedNews&&)> done);
     void copy(std::string const& relay, std::function<void(RelayedNews&&)> done);
-    /// Tells a relay what this node learned of targets. Lost when the relay does not answer: the next answers of the
-    /// targets show the same.
-    void report(std::string const& relay, std::string const& body);
+    /// Tells a relay what this node learned of targets. `lost` is called with the reason when the relay did not take
+    /// it; nothing is sent again, because the next answers of the targets show the same.
+    void report(std::string const& relay, std::string const& body, std::function<void(std::string const&)> lost);
 
 private:
     void call(std::string const& relay, std::string const& target, std::function<void(RelayedNews&&)> done);
--- a/Tests/Integration/test_gateway.py
+++ b/Tests/Integration/test_gateway.py
@@ -399,6 +399,18 @@
         self.assertEqual(len(slow.runs), runs)
         self.assertEqual([run["id"] for run in other.runs][-1], "r2")
 
+    # Guards against observations that are lost without a trace.
+    def test_lost_observations_are_logged(self):
+        follower = self.follower(self.store.address)
+        self.relay.stop()
+        slow = Target(self.store, "slow", "shared", "wien-a")
+        self.addCleanup(slow.server.stop)
+        slow.load = "1,0,8,900"
+        self.store.put("op/config", configuration(5, [route("shared", "/shared/", service="shared")], ["shared"]))
+        wait_until(lambda: call(follower.caller_port, "/shared/1", "r1").status == 200, CONFIGURATION_BOUND_S)
+        wait_until(lambda: "event=observations-lost" in follower.log(), 1)
+        self.assertGreaterEqual(follower.metrics()["toucan_gateway_observation_reports_lost_total"], 1)
+
 
 if __name__ == "__main__":
     unittest.main()
