Describe failed exchanges in one place; start connections by one function

Cause: read-through of the whole change. The relay client and the store connection each turned the end of an exchange into a reason for the log; a connection had two functions to start, chosen by its caller. Change: describeFailure() in Net serves both; ClientConnection::start takes the delay. Behaviour stays; a relay whose connection breaks is now logged as 'connection broke' instead of 'no connection', as the store's is.

--- a/Libraries/GatewayNode/RelayClient.cpp
+++ b/Libraries/GatewayNode/RelayClient.cpp
@@ -35,18 +35,6 @@
     this->call(relay, RelayServer::entriesPath, std::move(done));
 }
 
-static std::string describe(HttpClientResult const& result)
-{
-    switch (result.transport) {
-    case HttpTransport::Answered:
-        return "status " + std::to_string(static_cast<int>(result.head.getStatus()));
-    case HttpTransport::TimedOut:
-        return "no answer in time";
-    default:
-        return "no connection";
-    }
-}
-
 void RelayClient::report(
     std::string const& relay, std::string const& body, std::function<void(std::string const&)> lost)
 {
@@ -58,7 +46,7 @@
     exchange.timeout = reportTimeout;
     exchange.done = [lost = std::move(lost)](HttpClientResult&& result) {
         if (result.transport != HttpTransport::Answered || result.head.getStatus() != HTTPResponse::HTTP_OK)
-            lost(describe(result));
+            lost(describeFailure(result));
     };
     this->pool.send(relay, connectionsPerRelay, std::move(exchange));
 }
@@ -75,7 +63,7 @@
         if (answered && result.head.getStatus() == HTTPResponse::HTTP_GONE) {
             news.status = RegistryStatus::HistoryLost;
         } else if (!answered || result.head.getStatus() != HTTPResponse::HTTP_OK) {
-            news.reason = describe(result);
+            news.reason = describeFailure(result);
         } else {
             try {
                 news = readRelayedNews(result.body, this->decode);
--- a/Libraries/Net/HttpClientPool.cpp
+++ b/Libraries/Net/HttpClientPool.cpp
@@ -15,6 +15,22 @@
 /// A request must not cross the server's close of an idle connection, so the connection ends this much earlier.
 constexpr Milliseconds idleCloseMargin { 500 };
 
+std::string describeFailure(HttpClientResult const& result)
+{
+    switch (result.transport) {
+    case HttpTransport::Answered:
+        return "status " + std::to_string(static_cast<int>(result.head.getStatus()));
+    case HttpTransport::TimedOut:
+        return "no answer in time";
+    case HttpTransport::ConnectFailed:
+    case HttpTransport::NoConnection:
+        return "no connection";
+    case HttpTransport::Broken:
+        break;
+    }
+    return "connection broke";
+}
+
 namespace {
 
     /// The parameter "timeout" of a Keep-Alive header (RFC 2068, section 19.7.1.1).
@@ -85,28 +101,17 @@
             this->channel = SocketChannel::connect(this->loop, address, std::move(channelHooks));
         }
 
-        void start(PendingPointer next, std::string const& endpoint)
-        {
-            this->assign(std::move(next));
-            this->sendRequest(endpoint);
-        }
-
         /// Takes the exchange now and sends its request after the delay.
-        void startSettled(PendingPointer next, std::string const& endpoint, Milliseconds delay)
-        {
-            this->assign(std::move(next));
-            this->settleTimer = this->loop.schedule(
-                Clock::now() + delay, [self = this->shared_from_this(), endpoint] { self->sendRequest(endpoint); });
-        }
-
-        void sendRequest(std::string const& endpoint)
+        void start(PendingPointer next, std::string const& endpoint, Milliseconds delay = {})
         {
-            auto& exchange = this->pending->exchange;
-            if (exchange.beforeSending)
-                exchange.beforeSending(exchange.head);
-            this->channel->write(writeRequest(exchange.head, endpoint, exchange.body ? exchange.body->size() : 0));
-            if (exchange.body)
-                this->channel->write(*exchange.body);
+            this->pending = std::move(next);
+            this->resetReader();
+            this->sentBefore = this->channel->sent();
+            if (delay > Milliseconds {})
+                this->settleTimer = this->loop.schedule(
+                    Clock::now() + delay, [self = this->shared_from_this(), endpoint] { self->sendRequest(endpoint); });
+            else
+                this->sendRequest(endpoint);
         }
 
         /// Closes without a call of the hooks.
@@ -127,11 +132,14 @@
         EventLoop::Timer settleTimer;
 
     private:
-        void assign(PendingPointer next)
+        void sendRequest(std::string const& endpoint)
         {
-            this->pending = std::move(next);
-            this->resetReader();
-            this->sentBefore = this->channel->sent();
+            auto& exchange = this->pending->exchange;
+            if (exchange.beforeSending)
+                exchange.beforeSending(exchange.head);
+            this->channel->write(writeRequest(exchange.head, endpoint, exchange.body ? exchange.body->size() : 0));
+            if (exchange.body)
+                this->channel->write(*exchange.body);
         }
 
         void resetReader()
@@ -341,11 +349,7 @@
         this->connections.push_back(connection);
         connection->connectTimer = this->loop.schedule(Clock::now() + this->limits.connectTimeout,
             [self = this->shared_from_this(), connection] { self->onConnectTimeout(connection); });
-        auto const delay = this->settling.delay(Clock::now());
-        if (delay > Milliseconds {})
-            connection->startSettled(pending, this->name, delay);
-        else
-            connection->start(pending, this->name);
+        connection->start(pending, this->name, this->settling.delay(Clock::now()));
         return true;
     }
 
--- a/Libraries/Net/HttpClientPool.h
+++ b/Libraries/Net/HttpClientPool.h
@@ -36,6 +36,9 @@
     std::string body;
 };
 
+/// Why an exchange brought no usable response, for logs: the status, or what happened to the connection.
+std::string describeFailure(HttpClientResult const& result);
+
 struct HttpExchange {
     /// The pool sets Content-Length and Connection, and Host when there is none.
     Poco::Net::HTTPRequest head;
