Confirm the first read of the registry before a node calls itself ready

Cause: after a restart a node reads the store with the cheap read, which may be seconds old, and served at once: targets that had left and routes that were withdrawn were in use again until its first news. A fresh node also took the copy of any relay, however old, and a restarted relay asked no other relay at all. Ruled out: an exact read by every node (one full-price call a node and start). Change: the first question to a relay is answered at once and confirms or corrects the read; without an answer the node is ready after 1 s. Copies older than 2.4 s are taken only when no relay has a better one. Relays copy from each other. Tests: FirstReadIsConfirmedBeforeTheNodeIsReady, UnconfirmedReadIsUsedAfterAWhile, FreshNodePrefersTheMostRecentCopy, OldCopyIsBetterThanNone, RestartedRelayCopiesFromAnotherOne.

--- a/Libraries/Gateway/RegistrySync.cpp
+++ b/Libraries/Gateway/RegistrySync.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace Toucan {
 
@@ -23,6 +24,9 @@
 /// Bounds on the wait of a question to a relay. A question ends when the relay's news would be too old.
 constexpr Milliseconds longestQuestion { 800 };
 constexpr Milliseconds shortestQuestion { 100 };
+/// Time after which a node serves with a first read that nobody could confirm: a node without the latest news is better
+/// than none.
+constexpr Milliseconds longestConfirmation { 1000 };
 /// Time in which a relay that failed is not asked again.
 constexpr Milliseconds relayBlock { 3000 };
 /// Registrations that lapsed in an outage are back within 2 s of its end when the target lives.
@@ -31,14 +35,19 @@
 RegistrySync::RegistrySync(Gateway& gateway, Topology topology, Hooks hooks)
     : gateway(gateway)
     , context(gateway.shared())
-    , hasFollowers(topology.isRelay)
+    , hasFollowers(!topology.ownRelay.empty())
     , relayCount(topology.relays.size())
     , hooks(std::move(hooks))
 {
-    if (topology.isRelay)
-        return;
-    for (auto& address : topology.relays)
-        this->relays.push_back({ std::move(address), {}, {}, 0, 0, {} });
+    for (auto& address : topology.relays) {
+        if (address != topology.ownRelay)
+            this->relays.push_back({ std::move(address), {}, {}, 0, 0, {} });
+    }
+}
+
+bool RegistrySync::isReady() const
+{
+    return this->loaded && (this->confirmed || this->now() - this->loadedAt >= longestConfirmation);
 }
 
 uint32_t RegistrySync::estimatedNodes() const
@@ -51,12 +60,17 @@
     return static_cast<uint32_t>(this->relayCount) * (most + 1);
 }
 
-void RegistrySync::start() { this->list(this->relays.empty() ? Freshness::Latest : Freshness::Stale); }
+void RegistrySync::start()
+{
+    bool const follows = !this->hasFollowers && !this->relays.empty();
+    this->list(follows ? Freshness::Stale : Freshness::Latest);
+}
 
 void RegistrySync::list(Freshness freshness)
 {
     this->context.metrics.count("registry_lists");
-    this->hooks.list(freshness, [this](RegistryReply&& reply) { this->onListed(std::move(reply)); });
+    this->hooks.list(
+        freshness, [this, freshness](RegistryReply&& reply) { this->onListed(freshness, std::move(reply)); });
 }
 
 RegistrySync::Relay* RegistrySync::chooseRelay()
@@ -81,7 +95,8 @@
 
 void RegistrySync::next()
 {
-    if (auto* const relay = this->chooseRelay())
+    auto* const relay = this->hasFollowers ? nullptr : this->chooseRelay();
+    if (relay)
         this->follow(*relay);
     else
         this->watch();
@@ -96,7 +111,9 @@
 
 void RegistrySync::follow(Relay& relay)
 {
-    auto const wait = std::clamp(oldestNews - relay.newsAge, shortestQuestion, longestQuestion);
+    // The first question asks whether the first read was recent, so that it is answered at once.
+    auto const wait
+        = this->confirmed ? std::clamp(oldestNews - relay.newsAge, shortestQuestion, longestQuestion) : Milliseconds {};
     this->hooks.follow(relay.address, { this->revision, relay.lastObservation, wait },
         [this, &relay](RelayedNews&& news) { this->onFollowed(relay, std::move(news)); });
 }
@@ -111,7 +128,7 @@
     this->hooks.copy(relay->address, [this, relay](RelayedNews&& news) { this->onCopied(*relay, std::move(news)); });
 }
 
-void RegistrySync::onListed(RegistryReply&& reply)
+void RegistrySync::onListed(Freshness freshness, RegistryReply&& reply)
 {
     if (reply.status != RegistryStatus::Ok) {
         this->onFailure(reply.reason, "list");
@@ -123,21 +140,37 @@
     }
     this->heardAt = this->now();
     this->onConnected();
+    this->confirmed = this->confirmed || freshness == Freshness::Latest;
+    this->oldCopy.reset();
     this->takeAll(std::move(reply.events), reply.revision);
     this->next();
 }
 
 void RegistrySync::onCopied(Relay& relay, RelayedNews&& news)
 {
-    if (news.status != RegistryStatus::Ok) {
-        relay.blockedUntil = this->now() + relayBlock;
-        this->retryLater(&RegistrySync::listLatest);
+    if (news.status == RegistryStatus::Ok && news.age <= oldestNews) {
+        this->confirmed = true;
+        this->installCopy(relay, std::move(news));
         return;
     }
-    relay.failureDomain = news.failureDomain;
+    relay.blockedUntil = this->now() + relayBlock;
+    // A relay that was cut off for long may name targets that have left since, so the others are asked first.
+    if (news.status == RegistryStatus::Ok && (!this->oldCopy || news.age < this->oldCopy->age))
+        this->oldCopy = std::move(news);
+    if (this->chooseRelay())
+        this->copyFromRelay();
+    else if (this->oldCopy)
+        this->installCopy(relay, std::move(*std::exchange(this->oldCopy, std::nullopt)));
+    else
+        this->retryLater(&RegistrySync::listLatest);
+}
+
+void RegistrySync::installCopy(Relay const& relay, RelayedNews&& news)
+{
     this->context.log.line("registry-copied",
         { { "relay", relay.address }, { "revision", std::to_string(news.revision) },
             { "age_ms", std::to_string(static_cast<int64_t>(news.age.value)) } });
+    this->heardAt = this->now() - news.age;
     this->takeAll(std::move(news.events), news.revision);
     this->retryLater(&RegistrySync::watch);
 }
@@ -155,6 +188,7 @@
         return;
     }
     this->heardAt = this->now();
+    this->confirmed = true;
     this->onConnected();
     bool const changed = !reply.events.empty();
     this->take(std::move(reply.events), reply.revision);
@@ -191,6 +225,7 @@
         relay.newsAge = news.age;
         if (news.outageEnded)
             this->returnedAt = this->now() - *news.outageEnded;
+        this->confirmed = true;
         this->onConnected();
         this->take(std::move(news.events), news.revision);
         this->next();
@@ -314,11 +349,13 @@
     }
     this->context.directory.replaceAll(registrations, this->removal(), this->keepUntil(), this->now());
     this->scheduleExpiry();
-    if (!this->loaded)
+    if (!this->loaded) {
+        this->loadedAt = this->now();
         this->context.log.line("registry-loaded",
             { { "revision", std::to_string(revision) }, { "targets", std::to_string(this->context.directory.size()) },
                 { "configuration", std::to_string(this->gateway.version()) } },
             DecisionLog::Weight::Always);
+    }
     this->loaded = true;
 }
 
--- a/Libraries/Gateway/RegistrySync.h
+++ b/Libraries/Gateway/RegistrySync.h
@@ -36,8 +36,8 @@
     struct Topology {
         /// Addresses of the nodes that watch the registry for the others.
         std::vector<std::string> relays;
-        /// Whether this node is one of them.
-        bool isRelay { false };
+        /// The one among them that is this node's own; empty when it is no relay.
+        std::string ownRelay {};
     };
 
     RegistrySync(Gateway& gateway, Topology topology, Hooks hooks);
@@ -45,6 +45,10 @@
     void start();
     /// Whether the registry has been read completely once.
     bool isLoaded() const { return this->loaded; }
+    /// Whether what this node knows is known to be recent. A first read may be seconds old, so that it names targets
+    /// that have left and routes that were withdrawn. When nobody can confirm it for a second, the node does with what
+    /// it has.
+    bool isReady() const;
     RegistryRelay& relay() { return this->relayed; }
     /// Nodes of the deployment as far as the relays show: every relay is taken to have as many followers as the one
     /// with most. 0 without relays.
@@ -75,8 +79,9 @@
     void watch();
     void follow(Relay& relay);
     Relay* chooseRelay();
-    void onListed(RegistryReply&& reply);
+    void onListed(Freshness freshness, RegistryReply&& reply);
     void onCopied(Relay& relay, RelayedNews&& news);
+    void installCopy(Relay const& relay, RelayedNews&& news);
     void onWatched(RegistryReply&& reply);
     void onFollowed(Relay& relay, RelayedNews&& news);
     void takeAll(std::vector<RegistryEvent>&& events, uint64_t revision);
@@ -92,6 +97,7 @@
 
     Gateway& gateway;
     GatewayContext& context;
+    /// The other relays.
     std::vector<Relay> relays;
     bool hasFollowers;
     uint32_t followers { 0 };
@@ -100,6 +106,11 @@
     RegistryRelay relayed;
     uint64_t revision { 0 };
     bool loaded { false };
+    Milliseconds loadedAt;
+    /// Somebody who watches the registry has told what changed since the first read.
+    bool confirmed { false };
+    /// The most recent of the copies that were too old to be taken at once, while other relays are asked.
+    std::optional<RelayedNews> oldCopy;
     bool connected { false };
     uint32_t failures { 0 };
     /// Last word from the registry itself.
--- a/Libraries/GatewayNode/GatewayServer.cpp
+++ b/Libraries/GatewayNode/GatewayServer.cpp
@@ -44,7 +44,8 @@
           { [this](HttpServerSession::Pointer const& session, HttpServerRequest&&) { this->answerReadiness(session); },
               {}, {}, {} })
     , relayClient(this->loop, this->hooks.decodeEntry)
-    , registry(this->gateway, { this->settings.relays, this->isRelay() }, this->createRegistryHooks())
+    , registry(this->gateway, { this->settings.relays, this->isRelay() ? this->settings.relayListen : "" },
+          this->createRegistryHooks())
 {
     if (!this->settings.relayListen.empty())
         this->relayServer = std::make_unique<RelayServer>(this->loop, this->settings.relayListen, this->registry);
@@ -211,7 +212,7 @@
 
 bool GatewayServer::isReady() const
 {
-    return !this->stopBegan && this->registry.isLoaded() && this->gateway.hasConfiguration();
+    return !this->stopBegan && this->registry.isReady() && this->gateway.hasConfiguration();
 }
 
 void GatewayServer::answerReadiness(HttpServerSession::Pointer const& session)
--- a/Tests/Gateway/TestRegistrySync.cpp
+++ b/Tests/Gateway/TestRegistrySync.cpp
@@ -14,7 +14,8 @@
     std::vector<RelayQuestion> questions;
     std::vector<std::function<void(RelayedNews &&)>> copies;
     RegistrySync sync { fixture.gateway, {}, hooks() };
-    RegistrySync follower { fixture.gateway, { { "relay-1", "relay-2" }, false }, hooks() };
+    RegistrySync relay { fixture.gateway, { { "relay-1", "relay-2" }, "relay-1" }, hooks() };
+    RegistrySync follower { fixture.gateway, { { "relay-1", "relay-2" } }, hooks() };
 
     RegistrySync::Hooks hooks()
     {
@@ -226,11 +227,14 @@
 {
     follower.start();
     lists[0](reply(5, {}));
-    LONGS_EQUAL(800, questions.at(0).wait.value);
-    follows[0].second(news(5, {}, 2000_ms));
-    LONGS_EQUAL(400, questions.at(1).wait.value);
-    follows[1].second(news(5, {}, 2390_ms));
-    LONGS_EQUAL(100, questions.at(2).wait.value);
+    // The first question only confirms what was read.
+    LONGS_EQUAL(0, questions.at(0).wait.value);
+    follows[0].second(news(5, {}));
+    LONGS_EQUAL(800, questions.at(1).wait.value);
+    follows[1].second(news(5, {}, 2000_ms));
+    LONGS_EQUAL(400, questions.at(2).wait.value);
+    follows[2].second(news(5, {}, 2390_ms));
+    LONGS_EQUAL(100, questions.at(3).wait.value);
     LONGS_EQUAL(0, watches.size());
 }
 
@@ -314,6 +318,76 @@
     LONGS_EQUAL(1, follows.size());
 }
 
+// Guards against a restarted node that uses targets which have left, and routes that were withdrawn, because its first
+// read was seconds old.
+TEST(RegistrySync, FirstReadIsConfirmedBeforeTheNodeIsReady)
+{
+    follower.start();
+    lists.at(0)(reply(5, { target("left"), configuration(3) }));
+    CHECK(follower.isLoaded());
+    CHECK_FALSE(follower.isReady());
+    DOUBLES_EQUAL(0, questions.at(0).wait.value, 0);
+    follows.at(0).second(news(8, { TargetRemoved { "left" }, configuration(4) }));
+    CHECK(follower.isReady());
+    LONGS_EQUAL(0, targets());
+    LONGS_EQUAL(4, fixture.gateway.version());
+    CHECK(questions.at(1).wait > 0_ms);
+}
+
+// Guards against a node that never serves because nobody can confirm what it read.
+TEST(RegistrySync, UnconfirmedReadIsUsedAfterAWhile)
+{
+    follower.start();
+    lists.at(0)(reply(5, { target("t1"), configuration(3) }));
+    follows.at(0).second(noNews(RegistryStatus::Failed));
+    fixture.advance(900_ms);
+    CHECK_FALSE(follower.isReady());
+    fixture.advance(200_ms);
+    CHECK(follower.isReady());
+}
+
+// Guards against a copy from a relay that was cut off for long, while another one knows better.
+TEST(RegistrySync, FreshNodePrefersTheMostRecentCopy)
+{
+    follower.start();
+    lists.at(0)(failure());
+    copies.at(0)(news(5, { target("left"), configuration(3) }, 60000_ms));
+    CHECK_FALSE(follower.isLoaded());
+    copies.at(1)(news(9, { target("t1"), target("t2"), configuration(4) }, 500_ms));
+    CHECK(follower.isReady());
+    LONGS_EQUAL(4, fixture.gateway.version());
+    LONGS_EQUAL(2, targets());
+}
+
+// Guards against a node that waits for the end of an outage although a relay knows something, if not the latest.
+TEST(RegistrySync, OldCopyIsBetterThanNone)
+{
+    follower.start();
+    lists.at(0)(failure());
+    copies.at(0)(news(5, { target("t1"), configuration(3) }, 60000_ms));
+    copies.at(1)(news(4, { configuration(2) }, 90000_ms));
+    LONGS_EQUAL(3, fixture.gateway.version());
+    CHECK_FALSE(follower.isReady());
+    fixture.advance(1100_ms);
+    CHECK(follower.isReady());
+}
+
+// Guards against relays that serve nobody after a restart in an outage although another relay knows everything.
+TEST(RegistrySync, RestartedRelayCopiesFromAnotherOne)
+{
+    relay.start();
+    lists.at(0)(failure());
+    copies.at(0)(news(5, { target("t1"), configuration(3) }, 1500_ms));
+    CHECK(relay.isReady());
+    RelayedNews described;
+    relay.describe(described);
+    // Its followers must not take the copy for fresher than it is.
+    CHECK(described.age >= 1500_ms);
+    fixture.advance(500_ms);
+    LONGS_EQUAL(0, follows.size());
+    LONGS_EQUAL(1, watches.size());
+}
+
 // Guards against followers that drop targets whose entries lapsed in an outage that only the relay saw.
 TEST(RegistrySync, OutageIsPassedOn)
 {
