Accept the whole backlog before a planned stop closes the listener

Cause: closing the listener accepted one round of 64 connections; the kernel resets those that wait beyond it, with the requests that they had sent. Seen with 300 connections in the backlog: 64 answered, the others reset. Change: rounds of accepts go on until nothing waits.

--- a/Libraries/Net/TcpListener.cpp
+++ b/Libraries/Net/TcpListener.cpp
@@ -34,16 +34,18 @@
     if (!this->open)
         return;
     // The kernel would reset connections that it has accepted and this process has not.
-    this->acceptReady();
+    while (this->acceptReady() == acceptsPerTurn)
+        ;
     this->open = false;
     this->loop.cancel(this->resumeTimer);
     this->loop.unwatch(this->socket);
     this->socket.close();
 }
 
-void TcpListener::acceptReady()
+size_t TcpListener::acceptReady()
 {
-    for (size_t count = 0; count < acceptsPerTurn && this->open; ++count) {
+    size_t count = 0;
+    for (; count < acceptsPerTurn && this->open; ++count) {
         try {
             auto const connection = this->socket.acceptConnection();
             this->accepted(connection);
@@ -54,9 +56,10 @@
                     [this] { this->loop.update(this->socket, Poco::Net::PollSet::POLL_READ); });
             }
             // Otherwise nothing more is waiting, or the connection was reset before it was accepted.
-            return;
+            break;
         }
     }
+    return count;
 }
 
 } // namespace Toucan
--- a/Libraries/Net/TcpListener.h
+++ b/Libraries/Net/TcpListener.h
@@ -4,6 +4,7 @@
 
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/SocketAddress.h>
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <string>
@@ -27,7 +28,8 @@
     void close();
 
 private:
-    void acceptReady();
+    /// Accepts a bounded number of connections and returns how many there were.
+    size_t acceptReady();
 
     EventLoop& loop;
     Poco::Net::ServerSocket socket;
--- a/Tests/Net/TestHttpServerSession.cpp
+++ b/Tests/Net/TestHttpServerSession.cpp
@@ -270,6 +270,96 @@
 }
 
 // Guards against a planned stop that cuts a request which was on its way, or a connection that waits in the backlog.
+// Guards against idle connections that keep callers with requests out.
+TEST(HttpServerSession, IdleConnectionMakesRoomForANewOne)
+{
+    std::vector<RawPeer> peers;
+    peers.reserve(8);
+    auto limits = testLimits();
+    limits.session.idleTimeout = 5000_ms;
+    this->server->setLimits(limits);
+    for (int count = 0; count < 8; ++count)
+        peers.push_back(this->connect());
+    runUntil(this->loop, 200_ms, [this] { return this->server->connections() == 8; });
+    runUntil(this->loop, 1100_ms, [] { return false; });
+    auto extra = this->connect();
+    extra.send(post("Content-Length: 3\r\n", "one"));
+    extra.receiveUntilText(this->loop, 500_ms, "\r\n\r\none");
+    CHECK(extra.received.ends_with("\r\n\r\none"));
+    LONGS_EQUAL(8, this->server->connections());
+}
+
+// Guards against refused connections that use up the descriptors.
+TEST(HttpServerSession, FloodOfConnectionsIsClosedWithoutAnAnswer)
+{
+    std::vector<RawPeer> peers;
+    peers.reserve(200);
+    for (int count = 0; count < 8; ++count)
+        peers.push_back(this->connect());
+    runUntil(this->loop, 200_ms, [this] { return this->server->connections() == 8; });
+    for (int count = 0; count < 192; ++count) {
+        peers.push_back(this->connect());
+        this->loop.runOnce(0_ms);
+    }
+    runUntil(this->loop, 100_ms, [] { return false; });
+    size_t answered = 0;
+    for (size_t index = 8; index < peers.size(); ++index) {
+        peers[index].receive();
+        CHECK(peers[index].closed);
+        answered += peers[index].received.starts_with("HTTP/1.1 503");
+    }
+    CHECK(answered > 0);
+    CHECK(answered <= 64);
+}
+
+// Guards against a planned stop under load that resets the connections which wait beyond one round of accepts.
+TEST(HttpServerSession, StopServesAllConnectionsInTheBacklog)
+{
+    auto limits = testLimits();
+    limits.connections = 1000;
+    this->server->setLimits(limits);
+    std::vector<RawPeer> peers;
+    peers.reserve(300);
+    for (int count = 0; count < 300; ++count) {
+        peers.push_back(this->connect());
+        peers.back().send(post("Content-Length: 3\r\n", "one"));
+    }
+    this->server->beginStop();
+    runUntil(this->loop, 300_ms, [] { return false; });
+    for (auto& peer : peers) {
+        peer.receive();
+        CHECK(peer.received.ends_with("\r\n\r\none"));
+    }
+}
+
+// Guards against bodies of many callers that are buffered beyond the room that all of them share.
+TEST(HttpServerSession, StopsReadingWhileTheBudgetHasNoRoom)
+{
+    auto limits = testLimits();
+    limits.session.sizes = { 2048, 50000 };
+    limits.session.budget = ByteBudget::create({ 20000, 500, 50000 });
+    limits.session.receiveBytes = 2048;
+    limits.session.requestTimeout = 2000_ms;
+    this->server->setLimits(limits);
+    std::vector<RawPeer> peers;
+    std::string const body(20000, 'x');
+    for (int count = 0; count < 8; ++count) {
+        peers.push_back(this->connect());
+        peers.back().send(post("Content-Length: 20000\r\n", body));
+    }
+    size_t most = 0;
+    runUntil(this->loop, 2000_ms, [&] {
+        most = std::max(most, limits.session.budget->taken());
+        for (auto& request : this->requests)
+            request.memory.reset();
+        return this->requests.size() == 8;
+    });
+    // Callers that wait for each other's room are still served one after the other.
+    LONGS_EQUAL(8, this->requests.size());
+    CHECK(most <= 20000 + 20000 + 8 * 2048);
+    this->requests.clear();
+}
+
 TEST(HttpServerSession, ServesRequestsThatArriveDuringTheStop)
 {
     auto idle = this->connect();
