--- a/Libraries/Gateway/Gateway.cpp
+++ b/Libraries/Gateway/Gateway.cpp
@@ -18,7 +18,8 @@
     ExtraAttemptBudget budget(options.extraAttempts, hooks.random);
     ObservationOutbox outbox({ hooks.now, hooks.schedule, hooks.shareObservations });
     GatewayContext context { std::move(hooks), options.headers, std::move(log), {},
-        TargetDirectory(options.failureDomain, {}), std::move(selector), std::move(budget), {}, std::move(outbox) };
+        TargetDirectory(options.failureDomain, {}), std::move(selector), std::move(budget), {}, std::move(outbox),
+        options.answerBytes };
     return context;
 }
 
--- a/Libraries/Gateway/Gateway.h
+++ b/Libraries/Gateway/Gateway.h
@@ -19,6 +19,8 @@
         ExtraAttemptBudget::Limits extraAttempts;
         /// Requests that may run at once; more are refused, because they would only wait for the processor.
         size_t runningLimit { 300 };
+        /// Largest answer of a target that is forwarded.
+        size_t answerBytes { 4194304 };
     };
 
     Gateway(Options options, GatewayHooks hooks);
--- a/Libraries/Gateway/GatewayContext.h
+++ b/Libraries/Gateway/GatewayContext.h
@@ -42,6 +42,8 @@
     ExtraAttemptBudget budget;
     LatencyBook latencies;
     ObservationOutbox outbox;
+    /// Largest answer of a target that is forwarded.
+    size_t answerBytes { 0 };
     /// Requests that have not been answered.
     size_t running { 0 };
 };
--- a/Libraries/Gateway/GatewayMessages.h
+++ b/Libraries/Gateway/GatewayMessages.h
@@ -36,6 +36,8 @@
 struct ProxiedRequest {
     Poco::Net::HTTPRequest head;
     std::string body;
+    /// Keeps the room that the body takes; may be null.
+    std::shared_ptr<void const> memory;
     /// Time that the request and its answer spend on the way: the caller's clock ran before the request was read and
     /// runs until the answer has arrived.
     Milliseconds transitTime { 4 };
@@ -45,6 +47,8 @@
 struct ProxiedAnswer {
     Poco::Net::HTTPResponse head;
     std::string body;
+    /// Keeps the room that the body takes; may be null.
+    std::shared_ptr<void const> memory;
 };
 
 /// One request to one target.
@@ -56,6 +60,8 @@
     Poco::Net::HTTPRequest head;
     std::shared_ptr<std::string const> body;
     Milliseconds timeout;
+    /// Largest body that the answer may have.
+    size_t bodyLimit { 0 };
     /// A kept connection may be closed by the target just now, which leaves the outcome unknown.
     bool needsFreshConnection { false };
     /// Called when a connection takes the request, which may have waited for one: the time that is left is less then.
@@ -78,6 +84,10 @@
     /// Valid with Answered.
     Poco::Net::HTTPResponse head;
     std::string body;
+    /// What the target did wrong on the connection, or the bound that it exceeded; empty when nothing is known.
+    std::string fault;
+    /// Keeps the room that the body takes; may be null.
+    std::shared_ptr<void const> memory;
 };
 
 /// Ends a running operation; does nothing after its end.
--- a/Libraries/Gateway/GatewayRequest.cpp
+++ b/Libraries/Gateway/GatewayRequest.cpp
@@ -137,6 +137,7 @@
     message.body = this->body;
     // The request's own timer comes first, so that it decides between a partial answer and a timeout.
     message.timeout = this->deadline - now + Milliseconds { 5 };
+    message.bodyLimit = this->route.isScattered() ? largestPart(this->route.recordLimit) : this->context.answerBytes;
     message.needsFreshConnection = this->route.repeatability == Repeatability::NonIdempotent;
     message.isOwnResponse = [names = &this->context.headers, id = this->requestId](HTTPResponse const& head,
                                 bool first) { return answersRequest(head, id, first, *names); };
@@ -192,7 +193,7 @@
             { answered ? "status" : "transport",
                 answered ? std::to_string(static_cast<int>(reply.head.getStatus()))
                          : std::string(toString(reply.transport)) },
-            { "after_ms", Poco::NumberFormatter::format((now - attempt.sentAt).value, 1) } });
+            { "why", reply.fault }, { "after_ms", Poco::NumberFormatter::format((now - attempt.sentAt).value, 1) } });
 }
 
 void GatewayRequest::onReply(size_t partIndex, size_t attemptIndex, AttemptReply&& reply)
@@ -225,8 +226,9 @@
     part.state = Part::State::Merged;
     part.hedgeAt.reset();
     part.signature = reply.head.get(this->context.headers.signature);
+    // Only the greatest records can be in the answer, and many parts wait for it.
     if (this->route.isScattered())
-        part.body = std::move(reply.body);
+        part.body = mergeRecords(std::vector<std::string_view> { reply.body }, this->route.recordLimit);
     else
         part.reply = std::move(reply);
 }
@@ -402,7 +404,7 @@
 {
     auto& reply = *this->parts.front().reply;
     removeConnectionFields(reply.head);
-    this->answer({ reply.head, std::move(reply.body) }, result);
+    this->answer({ reply.head, std::move(reply.body), std::move(reply.memory) }, result);
 }
 
 void GatewayRequest::answerFailure()
@@ -501,6 +503,19 @@
     }
 }
 
+void GatewayRequest::stop()
+{
+    if (this->finished)
+        return;
+    auto const self = this->shared_from_this();
+    if (this->isEnough(this->mergedParts()))
+        this->answerMerged();
+    else if (this->ranAnywhere())
+        this->answerProblem(HTTPResponse::HTTP_BAD_GATEWAY, "the node stops; the outcome is unknown");
+    else
+        this->answerProblem(HTTPResponse::HTTP_SERVICE_UNAVAILABLE, "the node stops; not run");
+}
+
 void GatewayRequest::abandon()
 {
     if (this->finished)
--- a/Libraries/Gateway/GatewayRequest.h
+++ b/Libraries/Gateway/GatewayRequest.h
@@ -27,6 +27,8 @@
     /// The caller has gone. Work that may be repeated ends at once; a request that must run at most once is left to
     /// the target, because breaking it off would leave its outcome unknown.
     void abandon();
+    /// The node ends: answers at once with what there is.
+    void stop();
 
 private:
     struct Attempt {
--- a/Libraries/Gateway/RecordMerger.cpp
+++ b/Libraries/Gateway/RecordMerger.cpp
@@ -5,6 +5,18 @@
 
 namespace Toucan {
 
+/// Parts hold somewhat more records than the answer; a part of many times its length is a fault of the target.
+constexpr size_t mostRecordsPerAnswered = 16;
+/// Parts of routes with few records may be padded.
+constexpr size_t leastPartLimit = 16384;
+constexpr size_t mostPartLimit = 4194304;
+
+size_t largestPart(size_t limit)
+{
+    constexpr size_t perRecord = recordBytes * mostRecordsPerAnswered;
+    return std::clamp(std::min(limit, mostPartLimit / perRecord) * perRecord, leastPartLimit, mostPartLimit);
+}
+
 std::string mergeRecords(std::span<std::string_view const> parts, size_t limit)
 {
     std::vector<std::string_view> records;
--- a/Libraries/Gateway/RecordMerger.h
+++ b/Libraries/Gateway/RecordMerger.h
@@ -13,4 +13,8 @@
 /// shorter than a record is ignored.
 std::string mergeRecords(std::span<std::string_view const> parts, size_t limit);
 
+/// Largest body of a part that is read: parts may hold more records than the answer, but only the greatest of them
+/// count.
+size_t largestPart(size_t limit);
+
 } // namespace Toucan
--- a/Libraries/GatewayNode/GatewayServer.cpp
+++ b/Libraries/GatewayNode/GatewayServer.cpp
@@ -19,26 +19,47 @@
 constexpr Milliseconds targetSettling { 20 };
 /// Targets close the connections of a process that was killed within this time.
 constexpr Milliseconds lingeringConnections { 5000 };
-/// Largest answer of a target that is buffered.
-constexpr size_t targetBodyBytes = 4194304;
+constexpr size_t targetHeaderBytes = 16384;
+/// Shares of the process's memory for answers of targets, and for requests of callers with the answers that they have
+/// not taken. docs/design.md, section 9, adds up what the process holds at most.
+constexpr size_t answerMemoryDivisor = 16;
+constexpr size_t callerMemoryDivisor = 32;
+/// Room that every connection has without asking, so that usual messages never wait for large ones.
+constexpr size_t answerAllowance = 16384;
+constexpr size_t callerAllowance = 2048;
+/// A connection exceeds its room by one such read at most.
+constexpr size_t targetReceiveBytes = 16384;
+constexpr size_t callerReceiveBytes = 4096;
 /// Most callers' connections; each costs a descriptor and some KB.
 constexpr size_t callerConnections = 2000;
 constexpr size_t adminConnections = 20;
+/// Seconds after which a caller whose connection was refused should try again, as a header value.
+constexpr auto refusedConnectionRetryAfter = "0.1";
 /// Period in which a stopping node looks whether it may end.
 constexpr Milliseconds stopPeriod { 50 };
 /// Time for the last answers to leave the process.
 constexpr Milliseconds finalOutputTime { 100 };
 
+static size_t memoryShare(GatewaySettings const& settings, size_t divisor)
+{
+    constexpr size_t bytesPerMegabyte = 1048576;
+    return settings.memoryMegabytes * bytesPerMegabyte / divisor;
+}
+
 GatewayServer::GatewayServer(GatewaySettings settings, Hooks hooks)
     : settings(std::move(settings))
     , hooks(std::move(hooks))
     , randomEngine(std::random_device {}())
-    , gateway({ this->settings.failureDomain, this->hooks.headers, this->settings.extraAttempts },
+    , gateway({ .failureDomain = this->settings.failureDomain,
+                  .headers = this->hooks.headers,
+                  .extraAttempts = this->settings.extraAttempts,
+                  .answerBytes = this->settings.answerBytes },
           this->createGatewayHooks())
-    , pool(this->loop,
-          { { 16384, targetBodyBytes }, targetIdleTimeout, targetConnectTimeout,
-              HttpMessageReader::UnframedBody::UntilClose,
-              [this] { this->gateway.shared().metrics.count("target_connections"); }, targetSettling })
+    , answerBudget(ByteBudget::create(
+          { memoryShare(this->settings, answerMemoryDivisor), answerAllowance, this->settings.answerBytes }))
+    , callerBudget(ByteBudget::create({ memoryShare(this->settings, callerMemoryDivisor), callerAllowance,
+          this->gateway.callerLimits().bodyBytes }))
+    , pool(this->loop, this->targetLimits())
     , callers(this->loop, this->settings.callerListen, this->callerLimits(), this->createCallerHooks())
     , readiness(this->loop, this->settings.readyListen, { {}, adminConnections },
           { [this](HttpServerSession::Pointer const& session, HttpServerRequest&&) { this->answerReadiness(session); },
@@ -59,6 +80,7 @@
     if (this->settings.restarted)
         this->pool.expectResets(Clock::now() + lingeringConnections);
     this->loop.setTurnHook([this] { this->onTurn(); });
+    this->loop.setFaultHook([this](std::exception const& exception) { this->onFault(exception); });
 }
 
 GatewayServer::~GatewayServer() = default;
@@ -116,10 +138,26 @@
     return std::find(relays.begin(), relays.end(), this->settings.relayListen) != relays.end();
 }
 
+HttpClientPool::Limits GatewayServer::targetLimits()
+{
+    HttpClientPool::Limits limits;
+    limits.sizes = { targetHeaderBytes, this->settings.answerBytes };
+    limits.idleTimeout = targetIdleTimeout;
+    limits.connectTimeout = targetConnectTimeout;
+    limits.unframedBody = HttpMessageReader::UnframedBody::UntilClose;
+    limits.connecting = [this] { this->gateway.shared().metrics.count("target_connections"); };
+    limits.longestSettling = targetSettling;
+    limits.budget = this->answerBudget;
+    limits.receiveBytes = targetReceiveBytes;
+    return limits;
+}
+
 HttpServer::Limits GatewayServer::callerLimits() const
 {
     auto const limits = this->gateway.callerLimits();
     HttpServer::Limits result;
+    result.session.budget = this->callerBudget;
+    result.session.receiveBytes = callerReceiveBytes;
     result.session.sizes = { limits.headerBytes, limits.bodyBytes };
     result.session.requestTimeout = limits.requestTimeout;
     result.session.idleTimeout = limits.idleTimeout;
@@ -131,7 +169,17 @@
 {
     HttpServerSession::Hooks callerHooks;
     callerHooks.request = [this](HttpServerSession::Pointer const& session, HttpServerRequest&& request) {
-        this->onCallerRequest(session, std::move(request));
+        try {
+            this->onCallerRequest(session, std::move(request));
+        } catch (std::exception const& exception) {
+            this->onFault(exception);
+            session->refuse({ HTTPResponse::HTTP_INTERNAL_SERVER_ERROR, "The request met an unexpected error",
+                "Report the id of the request to the operators" });
+        }
+    };
+    callerHooks.describeFault = [this](HttpFault const& fault, HTTPResponse& head, std::string&) {
+        if (fault.status == HTTPResponse::HTTP_SERVICE_UNAVAILABLE)
+            head.set(this->hooks.headers.retryAfter, refusedConnectionRetryAfter);
     };
     callerHooks.gone = [this](HttpServerSession::Pointer const& session) { this->onCallerGone(session); };
     return callerHooks;
@@ -167,12 +215,14 @@
     exchange.head = message.head;
     exchange.body = std::move(message.body);
     exchange.timeout = message.timeout;
+    exchange.bodyLimit = message.bodyLimit;
     exchange.connection
         = message.needsFreshConnection ? HttpExchange::Connection::Fresh : HttpExchange::Connection::Any;
     exchange.beforeSending = std::move(message.beforeSending);
     exchange.isOwnResponse = std::move(message.isOwnResponse);
     exchange.done = [done = std::move(done)](HttpClientResult&& result) {
-        done({ transportOf(result.transport), result.head, std::move(result.body) });
+        done({ transportOf(result.transport), result.head, std::move(result.body), std::move(result.fault),
+            std::move(result.memory) });
     };
     auto const handle = this->pool.send(message.address, message.connections, std::move(exchange));
     return [this, address = std::move(message.address), handle] { this->pool.cancel(address, handle); };
@@ -190,11 +240,12 @@
     auto const transitTime = transitTimeOf(request);
     if (!request.roundTripTime)
         this->gateway.shared().metrics.count("callers_without_round_trip_time");
-    auto const running = this->gateway.handle(
-        { request.head, std::move(request.body), transitTime }, [this, session](ProxiedAnswer&& answer) {
-            this->requestsBySession.erase(session.get());
-            session->respond(answer.head, answer.body);
-        });
+    auto const running
+        = this->gateway.handle({ request.head, std::move(request.body), std::move(request.memory), transitTime },
+            [this, session](ProxiedAnswer&& answer) {
+                this->requestsBySession.erase(session.get());
+                session->respond(answer.head, std::move(answer.body), std::move(answer.memory));
+            });
     // The answer may have been given within the call.
     if (running && session->isRunning())
         this->requestsBySession[session.get()] = running;
@@ -286,12 +337,26 @@
     }
     bool const idle = this->callersClosed && this->callers.connections() == 0 && this->gateway.running() == 0;
     if (idle || elapsed >= this->settings.stopTime) {
+        this->answerRunning();
         this->loop.schedule(now + finalOutputTime, [this] { this->loop.stop(); });
         return;
     }
     this->loop.schedule(now + stopPeriod, [this] { this->continueStop(); });
 }
 
+void GatewayServer::answerRunning()
+{
+    auto const running = this->requestsBySession;
+    for (auto const& [session, request] : running)
+        request->stop();
+}
+
+void GatewayServer::onFault(std::exception const& exception)
+{
+    this->gateway.shared().metrics.count("unexpected_errors");
+    this->gateway.shared().log.line("unexpected-error", { { "why", exception.what() } });
+}
+
 void GatewayServer::reloadSettings()
 {
     try {
--- a/Libraries/GatewayNode/GatewayServer.h
+++ b/Libraries/GatewayNode/GatewayServer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Base/ByteBudget.h"
 #include "Gateway/Gateway.h"
 #include "Gateway/RegistrySync.h"
 #include "GatewayNode/GatewaySettings.h"
@@ -52,6 +53,7 @@
     bool isRelay() const;
     HttpServerSession::Hooks createCallerHooks();
     HttpServer::Limits callerLimits() const;
+    HttpClientPool::Limits targetLimits();
     Canceller sendAttempt(AttemptMessage&& message, std::function<void(AttemptReply&&)> done);
     /// Connections of this node to one target, so that all nodes together stay below the target's limit.
     uint32_t connectionShare(uint32_t limit) const;
@@ -63,6 +65,9 @@
     void onTurn();
     void beginStop();
     void continueStop();
+    /// Requests that still run when the time of the stop is over get an answer instead of a closed connection.
+    void answerRunning();
+    void onFault(std::exception const& exception);
     void reloadSettings();
 
     GatewaySettings settings;
@@ -70,6 +75,8 @@
     std::mt19937_64 randomEngine;
     EventLoop loop;
     Gateway gateway;
+    std::shared_ptr<ByteBudget> answerBudget;
+    std::shared_ptr<ByteBudget> callerBudget;
     HttpClientPool pool;
     CallerLimits appliedLimits;
     HttpServer callers;
--- a/Libraries/GatewayNode/GatewaySettings.cpp
+++ b/Libraries/GatewayNode/GatewaySettings.cpp
@@ -8,6 +8,10 @@
 
 constexpr uint64_t longestStopMs = 600000;
 constexpr uint64_t mostSharers = 10000;
+constexpr uint64_t leastMemoryMegabytes = 64;
+constexpr uint64_t mostMemoryMegabytes = 1048576;
+constexpr uint64_t leastAnswerBytes = 1024;
+constexpr uint64_t mostAnswerBytes = 1073741824;
 
 /// Requests that are on their way at the end of a window are counted at the target in the next one.
 constexpr double ratioMargin = 0.95;
@@ -44,6 +48,9 @@
     settings.connectionSharers
         = static_cast<uint32_t>(reader.integer("connectionSharers", settings.connectionSharers, { 1, mostSharers }));
     settings.restarted = reader.boolean("restarted", settings.restarted);
+    settings.memoryMegabytes = static_cast<uint32_t>(
+        reader.integer("memoryMb", settings.memoryMegabytes, { leastMemoryMegabytes, mostMemoryMegabytes }));
+    settings.answerBytes = reader.integer("answerBytes", settings.answerBytes, { leastAnswerBytes, mostAnswerBytes });
     if (reader.has("extraAttempts")) {
         SettingsReader budget(reader.object("extraAttempts"), reader.pathOf("extraAttempts"), faults);
         readExtraAttempts(budget, settings);
--- a/Libraries/GatewayNode/GatewaySettings.h
+++ b/Libraries/GatewayNode/GatewaySettings.h
@@ -30,6 +30,10 @@
     /// Whether the connections of an earlier process of this node, or of all nodes, may still count at the targets.
     bool restarted { false };
     ExtraAttemptBudget::Limits extraAttempts;
+    /// Memory that the process may use, from which the room for requests and answers is derived.
+    uint32_t memoryMegabytes { 160 };
+    /// Largest answer of a target that is forwarded.
+    size_t answerBytes { 4194304 };
 };
 
 /// Reads JSON with comments. Throws SettingsError with file, line, key and remedy.
--- a/Libraries/GatewayNode/RelayClient.cpp
+++ b/Libraries/GatewayNode/RelayClient.cpp
@@ -10,14 +10,15 @@
 /// Time beyond the relay's own wait in which its answer must come.
 constexpr Milliseconds answerMargin { 500 };
 constexpr Milliseconds connectTimeout { 400 };
-constexpr size_t largestAnswer = 16777216;
+/// Above the recent changes that a relay keeps, and several times the entries of a large deployment.
+constexpr size_t largestAnswer = 8388608;
 /// One question that waits for news, and one report.
 constexpr uint32_t connectionsPerRelay = 2;
 constexpr Milliseconds reportTimeout { 500 };
 
 RelayClient::RelayClient(EventLoop& loop, RegistryDecoder decode)
     : decode(std::move(decode))
-    , pool(loop, { { 16384, largestAnswer }, Milliseconds { 30000 }, connectTimeout, {}, {} })
+    , pool(loop, { .sizes = { 16384, largestAnswer }, .connectTimeout = connectTimeout })
 {
 }
 
--- a/Libraries/Net/EventLoop.cpp
+++ b/Libraries/Net/EventLoop.cpp
@@ -93,6 +93,21 @@
 
 void EventLoop::setTurnHook(std::function<void()> hook) { this->turnHook = std::move(hook); }
 
+void EventLoop::setFaultHook(std::function<void(std::exception const&)> hook) { this->faultHook = std::move(hook); }
+
+void EventLoop::contain(std::function<void()> const& step)
+{
+    if (!this->faultHook) {
+        step();
+        return;
+    }
+    try {
+        step();
+    } catch (std::exception const& exception) {
+        this->faultHook(exception);
+    }
+}
+
 void EventLoop::wake()
 {
     if (this->wakeUpPending.exchange(true))
@@ -150,7 +165,7 @@
             continue;
         // A copy, because the handler may unwatch its own socket.
         auto const handler = found->second.handler;
-        (*handler)(mode & mask);
+        this->contain([&handler, ready = mode & mask] { (*handler)(ready); });
     }
 }
 
@@ -159,7 +174,7 @@
     while (!this->timers.empty() && this->timers.begin()->first.at <= this->turnTime) {
         auto const task = std::move(this->timers.begin()->second);
         this->timers.erase(this->timers.begin());
-        task();
+        this->contain(task);
     }
 }
 
@@ -167,7 +182,7 @@
 {
     auto const tasks = std::exchange(this->turnEndTasks, {});
     for (auto const& task : tasks)
-        task();
+        this->contain(task);
 }
 
 void EventLoop::drainWakeUps()
--- a/Libraries/Net/EventLoop.h
+++ b/Libraries/Net/EventLoop.h
@@ -6,6 +6,7 @@
 #include <Poco/Net/StreamSocket.h>
 #include <atomic>
 #include <cstdint>
+#include <exception>
 #include <functional>
 #include <map>
 #include <memory>
@@ -50,6 +51,9 @@
     void atTurnEnd(std::function<void()> task);
     /// Called at the start of each turn, and so soon after each wake().
     void setTurnHook(std::function<void()> hook);
+    /// Gets the exceptions that handlers, timers and tasks throw; the loop goes on. Without a hook they leave
+    /// runOnce().
+    void setFaultHook(std::function<void(std::exception const&)> hook);
 
     /// Makes the loop start a turn soon. May be called from any thread.
     void wake();
@@ -73,6 +77,8 @@
     void dispatch(Poco::Net::PollSet::SocketModeMap const& ready, int mask);
     void runDueTimers();
     void runTurnEndTasks();
+    /// Runs one handler, timer or task, so that its exception harms no other.
+    void contain(std::function<void()> const& step);
     void drainWakeUps();
 
     Poco::Net::PollSet pollSet;
@@ -80,6 +86,7 @@
     std::map<Timer, std::function<void()>> timers;
     std::vector<std::function<void()>> turnEndTasks;
     std::function<void()> turnHook;
+    std::function<void(std::exception const&)> faultHook;
     uint64_t lastTimerNumber { 0 };
     Milliseconds turnTime;
     Poco::Net::StreamSocket wakeUpSocket;
--- a/Libraries/Net/HttpClientPool.h
+++ b/Libraries/Net/HttpClientPool.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include "Base/ByteBudget.h"
 #include "Base/Clock.h"
 #include "Net/ConnectionSettling.h"
 #include "Net/EventLoop.h"
 #include "Net/HttpMessageReader.h"
+#include "Net/SocketChannel.h"
 
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
@@ -34,6 +36,10 @@
     /// Valid with Answered.
     Poco::Net::HTTPResponse head;
     std::string body;
+    /// What the peer did wrong, or the bound that it exceeded; empty when its bytes were not at fault.
+    std::string fault;
+    /// Holds the room of the body in the pool's budget; null without a budget.
+    std::shared_ptr<ByteBudget::Holder> memory;
 };
 
 /// Why an exchange brought no usable response, for logs: the status, or what happened to the connection.
@@ -61,6 +67,8 @@
     } whenBusy { WhenBusy::Wait };
     /// Time for the whole exchange, with the wait for a connection.
     Milliseconds timeout;
+    /// Largest body of the response; the pool's limit when 0.
+    size_t bodyLimit { 0 };
     /// Called just before the request is given to a connection; may change its fields.
     std::function<void(Poco::Net::HTTPRequest&)> beforeSending;
     /// Whether a response answers this exchange, which may be the first of its connection; others are dropped and the
@@ -74,7 +82,9 @@
 using HttpExchangeHandle = std::weak_ptr<void>;
 
 /// HTTP/1.1 client connections, kept and reused, with a bound for each endpoint. Each connection carries one exchange
-/// at a time and is closed after a timeout, so that a late response never meets another exchange.
+/// at a time and is closed after a timeout, so that a late response never meets another exchange. A peer that sends
+/// more than an exchange can use is a fault: the connection is closed at once. When the budget has no room, reading
+/// waits.
 class HttpClientPool {
 public:
     struct Limits {
@@ -85,11 +95,15 @@
         Milliseconds connectTimeout { 30000 };
         HttpMessageReader::UnframedBody unframedBody { HttpMessageReader::UnframedBody::Refused };
         /// Called for each connection that is opened.
-        std::function<void()> connecting;
+        std::function<void()> connecting {};
         /// Longest wait of a new connection for a reset by a full server; see ConnectionSettling.
         Milliseconds longestSettling {};
         /// Exchanges that may wait for a connection to one endpoint.
         size_t waiting { 1024 };
+        /// Room for responses; null for no common bound.
+        std::shared_ptr<ByteBudget> budget {};
+        /// Bytes that a connection receives in one turn of the loop; see SocketChannel.
+        size_t receiveBytes { SocketChannel::usualReceiveBytes };
     };
 
     HttpClientPool(EventLoop& loop, Limits limits);
--- a/Libraries/Net/HttpMessageReader.cpp
+++ b/Libraries/Net/HttpMessageReader.cpp
@@ -17,6 +17,11 @@
 constexpr size_t mostFields = 100;
 /// Chunk size with its extensions.
 constexpr size_t longestChunkLine = 256;
+/// Chunk extensions of one message together. Without this bound a body of short chunks could carry many times its
+/// length in extensions.
+constexpr size_t mostExtensionBytes = 4096;
+/// RFC 9112, section 2.2, asks servers to ignore at least one empty line before a request.
+constexpr size_t mostEmptyLines = 8;
 
 static bool isTokenCharacter(char character)
 {
@@ -72,6 +77,34 @@
     return value;
 }
 
+std::string_view toString(HttpMessageReader::Status status)
+{
+    using Status = HttpMessageReader::Status;
+    switch (status) {
+    case Status::NeedMore:
+        return "incomplete";
+    case Status::Complete:
+        return "complete";
+    case Status::Malformed:
+        return "malformed";
+    case Status::HeaderTooLarge:
+        return "header too large";
+    case Status::BodyTooLarge:
+        return "body too large";
+    case Status::UnsupportedCoding:
+        return "unsupported transfer coding";
+    case Status::UnsupportedVersion:
+        return "unsupported version";
+    case Status::TooManyEmptyLines:
+        return "too many empty lines";
+    case Status::ChunkExtensionsTooLarge:
+        return "chunk extensions too large";
+    case Status::TrailerTooLarge:
+        break;
+    }
+    return "trailer too large";
+}
+
 HttpMessageReader::HttpMessageReader(Kind kind, HttpSizeLimits limits, UnframedBody unframedBody)
     : kind(kind)
     , limits(limits)
@@ -134,9 +167,11 @@
 
 HttpMessageReader::Status HttpMessageReader::readHeader(std::string_view& input)
 {
-    // RFC 9112, section 2.2: empty lines before a request line are ignored.
-    while (input.starts_with(lineEnd))
+    while (input.starts_with(lineEnd)) {
+        if (++this->emptyLines > mostEmptyLines)
+            return Status::TooManyEmptyLines;
         input.remove_prefix(lineEnd.size());
+    }
     auto const end = input.find(headerEnd);
     auto const size = end == std::string_view::npos ? input.size() : end + headerEnd.size();
     if (size > this->limits.headerBytes)
@@ -261,6 +296,9 @@
         return Status::Malformed;
     if (*size > this->limits.bodyBytes - this->bodyText.size())
         return Status::BodyTooLarge;
+    this->extensionBytes += line.size() - std::min(line.find(';'), line.size());
+    if (this->extensionBytes > mostExtensionBytes)
+        return Status::ChunkExtensionsTooLarge;
     input.remove_prefix(end + lineEnd.size());
     this->remaining = *size;
     this->stage = *size ? Stage::ChunkData : Stage::Trailer;
@@ -283,7 +321,7 @@
     while (true) {
         auto const end = input.find(lineEnd);
         if (this->trailerBytes + std::min(end, input.size()) > this->limits.headerBytes)
-            return Status::HeaderTooLarge;
+            return Status::TrailerTooLarge;
         if (end == std::string_view::npos)
             return Status::NeedMore;
         this->trailerBytes += end + lineEnd.size();
--- a/Libraries/Net/HttpMessageReader.h
+++ b/Libraries/Net/HttpMessageReader.h
@@ -15,8 +15,9 @@
     size_t bodyBytes { 65536 };
 };
 
-/// Reads one HTTP/1.1 message (RFC 9112) from a growing buffer. Message framing is strict: what two receivers could
-/// frame differently is refused.
+/// Reads one HTTP/1.1 message (RFC 9112) from a growing buffer. Everything that a peer can send without end has a
+/// bound, so that neither the buffer nor the work on it grows with what the peer sends. Message framing is strict: what
+/// two receivers could frame differently is refused.
 class HttpMessageReader {
 public:
     enum class Kind {
@@ -32,6 +33,9 @@
         /// A transfer coding other than "chunked".
         UnsupportedCoding,
         UnsupportedVersion,
+        TooManyEmptyLines,
+        ChunkExtensionsTooLarge,
+        TrailerTooLarge,
     };
 
     /// How the end of a response without Content-Length and chunks is found.
@@ -87,10 +91,15 @@
     Stage stage { Stage::Header };
     /// Body or chunk bytes that are still to come.
     uint64_t remaining { 0 };
+    size_t emptyLines { 0 };
+    size_t extensionBytes { 0 };
     size_t trailerBytes { 0 };
     Poco::Net::HTTPRequest requestHead;
     Poco::Net::HTTPResponse responseHead;
     std::string bodyText;
 };
 
+/// Names the fault, or the bound that was exceeded, for logs.
+std::string_view toString(HttpMessageReader::Status status);
+
 } // namespace Toucan
--- a/Libraries/Net/HttpServer.h
+++ b/Libraries/Net/HttpServer.h
@@ -10,7 +10,8 @@
 
 namespace Toucan {
 
-/// Listener with a bounded number of HTTP sessions. A connection beyond the bound is answered 503 and closed.
+/// Listener with a bounded number of HTTP sessions. A connection beyond the bound takes the place of the one that has
+/// been idle for longest; when none is, it is answered 503 and closed.
 class HttpServer {
 public:
     struct Limits {
@@ -35,11 +36,17 @@
 
 private:
     void accept(Poco::Net::StreamSocket const& socket);
+    /// Closes the session that has been idle for longest. Returns whether there was one.
+    bool makeRoom();
+    void refuse(Poco::Net::StreamSocket const& socket);
 
     EventLoop& loop;
     Limits limits;
     HttpServerSession::Hooks hooks;
     bool keepAliveEnded { false };
+    /// Connections that were answered 503 since refusalsStart.
+    uint32_t refusals { 0 };
+    Milliseconds refusalsStart;
     std::unordered_set<HttpServerSession::Pointer> sessions;
     TcpListener listener;
 };
--- a/Libraries/Net/HttpServerSession.cpp
+++ b/Libraries/Net/HttpServerSession.cpp
@@ -8,10 +8,14 @@
 using Poco::Net::HTTPResponse;
 using Status = HttpMessageReader::Status;
 
+/// Shorter answers are not counted in the budget, which saves most requests a holder.
+constexpr size_t leastCountedOutput = 4096;
+
 static HttpFault faultOf(Status status, HttpServerLimits const& limits)
 {
     switch (status) {
     case Status::HeaderTooLarge:
+    case Status::TrailerTooLarge:
         return { HTTPResponse::HTTP_REQUEST_HEADER_FIELDS_TOO_LARGE, "The header is too large",
             "Send at most " + std::to_string(limits.sizes.headerBytes)
                 + " bytes, 100 fields and 8192 bytes for each field" };
@@ -38,6 +42,7 @@
     channelHooks.drained = [session] { session->onDrained(); };
     channelHooks.ended = [session](SocketChannel::End end) { session->onEnded(end); };
     session->channel = SocketChannel::adopt(loop, socket, std::move(channelHooks));
+    session->channel->setReceiveBytes(limits.receiveBytes);
     session->enterIdle();
     return session;
 }
@@ -62,9 +67,17 @@
     this->state = State::Idle;
     this->reader = HttpMessageReader(HttpMessageReader::Kind::Request, this->limits.sizes);
     this->continueSent = false;
+    this->idleStart = Clock::now();
     this->setTimer(this->limits.idleTimeout, &HttpServerSession::close);
 }
 
+std::optional<Milliseconds> HttpServerSession::idleSince() const
+{
+    if (this->state != State::Idle)
+        return std::nullopt;
+    return this->idleStart;
+}
+
 void HttpServerSession::onReceived()
 {
     if (this->state == State::Idle) {
@@ -86,6 +99,7 @@
     auto const status = this->reader.read(this->channel->input());
     if (status == Status::NeedMore) {
         this->sendContinue();
+        this->waitForRoom();
         return;
     }
     if (status != Status::Complete) {
@@ -93,12 +107,33 @@
         return;
     }
     this->loop.cancel(this->timer);
+    this->channel->setReading(true);
+    if (this->memory)
+        this->memory->complete();
     this->state = State::Running;
     this->keepAlive = this->reader.request().getKeepAlive() && this->channel->input().empty();
     auto const current = this->hooks;
     bool const first = !std::exchange(this->hasServed, true);
     current->request(this->shared_from_this(),
-        { this->reader.request(), std::move(this->reader.body()), first, this->channel->roundTripTime() });
+        { this->reader.request(), std::move(this->reader.body()), first, this->channel->roundTripTime(),
+            std::move(this->memory) });
+}
+
+/// Stops reading while others hold what there is for requests; the request's timeout goes on.
+void HttpServerSession::waitForRoom()
+{
+    if (!this->limits.budget)
+        return;
+    if (!this->memory)
+        this->memory = this->limits.budget->createHolder();
+    auto const held = this->reader.body().size() + this->channel->input().size();
+    std::weak_ptr<SocketChannel> const waiting = this->channel;
+    bool const more = this->memory->resize(held, [waiting] {
+        if (auto const resumed = waiting.lock())
+            resumed->setReading(true);
+    });
+    if (!more)
+        this->channel->setReading(false);
 }
 
 void HttpServerSession::sendContinue()
@@ -109,12 +144,12 @@
     this->channel->write("HTTP/1.1 100 Continue\r\n\r\n");
 }
 
-void HttpServerSession::respond(HTTPResponse& head, std::string_view body)
+void HttpServerSession::respond(HTTPResponse& head, std::string body, std::shared_ptr<void const> bodyMemory)
 {
     if (this->state != State::Running)
         return;
     this->keepAlive = this->keepAlive && !this->closeRequested;
-    this->sendResponse(head, body);
+    this->sendResponse(head, std::move(body), std::move(bodyMemory));
 }
 
 void HttpServerSession::refuse(HttpFault const& fault)
@@ -127,10 +162,10 @@
     if (this->hooks->describeFault)
         this->hooks->describeFault(fault, head, body);
     this->keepAlive = false;
-    this->sendResponse(head, body);
+    this->sendResponse(head, std::move(body));
 }
 
-void HttpServerSession::sendResponse(HTTPResponse& head, std::string_view body)
+void HttpServerSession::sendResponse(HTTPResponse& head, std::string body, std::shared_ptr<void const> bodyMemory)
 {
     head.setVersion(HTTPResponse::HTTP_1_1);
     head.setContentLength(static_cast<std::streamsize>(body.size()));
@@ -140,7 +175,16 @@
     this->state = State::Responding;
     this->setTimer(this->limits.responseTimeout, &HttpServerSession::close);
     this->channel->write(text.str());
-    this->channel->write(body);
+    if (!body.empty())
+        this->channel->write(std::make_shared<std::string const>(std::move(body)));
+    this->channel->keepUntilDrained(std::move(bodyMemory));
+    this->memory.reset();
+    if (!this->limits.budget || this->channel->unsent() < leastCountedOutput)
+        return;
+    // What slow readers leave unsent keeps new requests from being read.
+    std::shared_ptr<ByteBudget::Holder> const unsent = this->limits.budget->createHolder();
+    unsent->resize(this->channel->unsent(), [] {});
+    this->channel->keepUntilDrained(unsent);
 }
 
 void HttpServerSession::onDrained()
--- a/Libraries/Net/HttpServerSession.h
+++ b/Libraries/Net/HttpServerSession.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Base/ByteBudget.h"
 #include "Net/HttpMessageReader.h"
 #include "Net/SocketChannel.h"
 
@@ -23,6 +24,10 @@
     /// Time in which a connection without a request is still read after closeWhenIdle(), because a request may be on
     /// its way.
     Milliseconds stopGrace { 500 };
+    /// Room for requests that are read and answers that are sent; null for no common bound.
+    std::shared_ptr<ByteBudget> budget;
+    /// Bytes that a connection receives in one turn of the loop; see SocketChannel.
+    size_t receiveBytes { SocketChannel::usualReceiveBytes };
 };
 
 struct HttpServerRequest {
@@ -32,6 +37,8 @@
     bool first { true };
     /// Round-trip time to the peer, when known.
     std::optional<Milliseconds> roundTripTime;
+    /// Holds the room of the body in the budget; may be null.
+    std::shared_ptr<ByteBudget::Holder> memory;
 };
 
 /// Error that the session answers by itself, for a hook that writes its body.
@@ -59,8 +66,9 @@
 
     static Pointer start(EventLoop& loop, Poco::Net::StreamSocket const& socket, HttpServerLimits limits, Hooks hooks);
 
-    /// Answers the running request. Sets the length and the connection header of `head`.
-    void respond(Poco::Net::HTTPResponse& head, std::string_view body);
+    /// Answers the running request. Sets the length and the connection header of `head`. `memory` is kept until the
+    /// peer has taken the answer.
+    void respond(Poco::Net::HTTPResponse& head, std::string body, std::shared_ptr<void const> memory = {});
     /// Answers with a fault and closes the connection.
     void refuse(HttpFault const& fault);
     /// Closes the connection after the next answer.
@@ -69,6 +77,8 @@
     void closeWhenIdle();
     void close();
     bool isRunning() const { return this->state == State::Running; }
+    /// Time since which no request has been read or answered; empty while there is one.
+    std::optional<Milliseconds> idleSince() const;
 
 private:
     enum class State {
@@ -83,11 +93,12 @@
 
     void onReceived();
     void readRequest();
+    void waitForRoom();
     void sendContinue();
     void onDrained();
     void onEnded(SocketChannel::End end);
     void onRequestTimeout();
-    void sendResponse(Poco::Net::HTTPResponse& head, std::string_view body);
+    void sendResponse(Poco::Net::HTTPResponse& head, std::string body, std::shared_ptr<void const> memory = {});
     void enterIdle();
     void finish();
     void setTimer(Milliseconds delay, void (HttpServerSession::*task)());
@@ -97,6 +108,8 @@
     std::shared_ptr<Hooks> hooks;
     std::shared_ptr<SocketChannel> channel;
     HttpMessageReader reader;
+    std::shared_ptr<ByteBudget::Holder> memory;
+    Milliseconds idleStart;
     EventLoop::Timer timer;
     State state { State::Idle };
     bool keepAlive { true };
--- a/Libraries/Net/SocketChannel.cpp
+++ b/Libraries/Net/SocketChannel.cpp
@@ -2,8 +2,10 @@
 
 #include <Poco/Exception.h>
 #include <Poco/Net/NetException.h>
+#include <algorithm>
 #include <array>
 #include <cerrno>
+#include <exception>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <optional>
@@ -13,9 +15,10 @@
 
 using Poco::Net::PollSet;
 
-constexpr size_t receiveBytesPerCall = 65536;
-/// Bounds the time that one fast sender keeps the loop from its other sockets.
-constexpr size_t receiveBytesPerTurn = 262144;
+/// Shorter texts are copied into one buffer, because each buffer costs a system call.
+constexpr size_t leastSharedOutput = 16384;
+/// An empty input buffer keeps at most this capacity, because most connections rest most of the time.
+constexpr size_t keptInputCapacity = 4096;
 /// Time that a closing connection waits for its peer to close too.
 constexpr Milliseconds lingerTime { 1000 };
 /// Time to send the last answer to a peer that reads slowly.
@@ -61,12 +64,46 @@
 
 void SocketChannel::write(std::string_view bytes)
 {
+    if (this->closedState || this->closing || bytes.empty())
+        return;
+    if (!this->openOutput) {
+        this->openOutput = std::make_shared<std::string>();
+        this->output.push_back(this->openOutput);
+    }
+    this->openOutput->append(bytes);
+    this->unsentBytes += bytes.size();
+    this->scheduleFlush();
+}
+
+void SocketChannel::write(std::shared_ptr<std::string const> const& text)
+{
+    if (text->size() < leastSharedOutput) {
+        this->write(std::string_view(*text));
+        return;
+    }
     if (this->closedState || this->closing)
         return;
-    this->outputBuffer.append(bytes);
+    this->openOutput.reset();
+    this->output.push_back(text);
+    this->unsentBytes += text->size();
     this->scheduleFlush();
 }
 
+void SocketChannel::keepUntilDrained(std::shared_ptr<void const> memory)
+{
+    if (memory && this->unsent())
+        this->outputMemory.push_back(std::move(memory));
+}
+
+void SocketChannel::discardOutput()
+{
+    this->output.clear();
+    this->openOutput.reset();
+    this->outputOffset = 0;
+    this->unsentBytes = 0;
+    this->outputMemory.clear();
+}
+
 void SocketChannel::scheduleFlush()
 {
     if (this->flushScheduled || !this->connectedState)
@@ -119,11 +156,24 @@
     this->loop.cancel(this->lingerTimer);
     this->loop.unwatch(this->socket);
     this->socket.close();
+    this->discardOutput();
     // Releases the owner; running hooks hold their own reference.
     this->hooks = std::make_shared<Hooks>();
 }
 
 void SocketChannel::onReady(int ready)
+{
+    try {
+        this->dispatch(ready);
+    } catch (std::exception const&) {
+        // The owner's state is unknown, so the connection cannot be used any more; the loop reports the exception.
+        auto const error = std::current_exception();
+        this->end(End::Broken);
+        std::rethrow_exception(error);
+    }
+}
+
+void SocketChannel::dispatch(int ready)
 {
     if (this->closedState)
         return;
@@ -176,32 +226,33 @@
 
 void SocketChannel::receive()
 {
-    std::array<char, receiveBytesPerCall> buffer;
-    size_t total = 0;
-    bool peerClosed = false;
+    std::array<char, usualReceiveBytes> buffer;
+    std::optional<size_t> size;
     try {
-        while (total < receiveBytesPerTurn && !this->inputEnded) {
-            auto const size = tryReceive(this->socket, buffer.data(), buffer.size());
-            if (!size)
-                break;
-            peerClosed = *size == 0;
-            if (peerClosed)
-                break;
-            total += *size;
-            if (!this->closing)
-                this->inputBuffer.append(buffer.data(), *size);
-            if (*size < buffer.size())
-                break;
-        }
+        size = tryReceive(this->socket, buffer.data(), std::min(this->receiveBytes, buffer.size()));
     } catch (Poco::Exception const&) {
         this->end(End::Broken);
         return;
     }
+    if (!size)
+        return;
+    if (*size == 0) {
+        this->end(End::PeerClosed);
+        return;
+    }
+    if (this->closing)
+        return;
+    this->inputBuffer.append(buffer.data(), *size);
     auto const current = this->hooks;
-    if (total && !this->closing && current->received)
+    if (current->received)
         current->received();
-    if (peerClosed && !this->closedState)
-        this->end(End::PeerClosed);
+    this->releaseInputMemory();
+}
+
+void SocketChannel::releaseInputMemory()
+{
+    if (this->inputBuffer.empty() && this->inputBuffer.capacity() > keptInputCapacity)
+        this->inputBuffer = std::string();
 }
 
 void SocketChannel::flush()
@@ -210,12 +261,20 @@
         return;
     try {
         while (this->unsent()) {
+            auto const& first = *this->output.front();
             int const size = this->socket.sendBytes(
-                this->outputBuffer.data() + this->outputOffset, static_cast<int>(this->unsent()), MSG_NOSIGNAL);
+                first.data() + this->outputOffset, static_cast<int>(first.size() - this->outputOffset), MSG_NOSIGNAL);
             if (size <= 0)
                 break;
             this->outputOffset += static_cast<size_t>(size);
+            this->unsentBytes -= static_cast<size_t>(size);
             this->sentBytes += static_cast<uint64_t>(size);
+            if (this->outputOffset < first.size())
+                continue;
+            if (this->openOutput == this->output.front())
+                this->openOutput.reset();
+            this->output.pop_front();
+            this->outputOffset = 0;
         }
     } catch (Poco::Exception const& exception) {
         if (!isTemporary(exception)) {
@@ -232,8 +291,7 @@
 
 void SocketChannel::onDrained()
 {
-    this->outputBuffer.clear();
-    this->outputOffset = 0;
+    this->discardOutput();
     if (!this->closing) {
         auto const current = this->hooks;
         if (current->drained)
--- a/Libraries/Net/SocketChannel.h
+++ b/Libraries/Net/SocketChannel.h
@@ -6,11 +6,13 @@
 #include <Poco/Net/StreamSocket.h>
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace Toucan {
 
@@ -36,6 +38,10 @@
         std::function<void(End)> ended;
     };
 
+    /// Bytes that are received in one turn of the loop, unless another number is given. It bounds the time that one
+    /// fast sender keeps the loop from its other sockets.
+    static constexpr size_t usualReceiveBytes = 65536;
+
     static std::shared_ptr<SocketChannel> adopt(EventLoop& loop, Poco::Net::StreamSocket const& socket, Hooks hooks);
     /// Starts to connect; output is kept until the connection is there.
     static std::shared_ptr<SocketChannel> connect(
@@ -43,9 +49,15 @@
 
     /// Received bytes; the owner removes what it has used.
     std::string& input() { return this->inputBuffer; }
+    /// At most usualReceiveBytes.
+    void setReceiveBytes(size_t bytes) { this->receiveBytes = bytes; }
     /// Appends to the output, which is sent at the end of the loop's turn.
     void write(std::string_view bytes);
-    size_t unsent() const { return this->outputBuffer.size() - this->outputOffset; }
+    /// Sends a large text without a copy of its own; short ones are copied, to leave in one packet with what is before.
+    void write(std::shared_ptr<std::string const> const& text);
+    /// Keeps `memory` until all output that is there now was given to the kernel.
+    void keepUntilDrained(std::shared_ptr<void const> memory);
+    size_t unsent() const { return this->unsentBytes; }
     /// Bytes that the kernel has taken since the start.
     uint64_t sent() const { return this->sentBytes; }
     bool isConnected() const { return this->connectedState; }
@@ -64,8 +76,11 @@
     void start();
     void onReady(int ready);
     void onConnectReady();
+    void dispatch(int ready);
     void receive();
+    void releaseInputMemory();
     void flush();
+    void discardOutput();
     void scheduleFlush();
     void onDrained();
     void end(End reason);
@@ -75,8 +90,14 @@
     Poco::Net::StreamSocket socket;
     std::shared_ptr<Hooks> hooks;
     std::string inputBuffer;
-    std::string outputBuffer;
+    size_t receiveBytes { usualReceiveBytes };
+    std::deque<std::shared_ptr<std::string const>> output;
+    /// The last entry of `output` when more may be appended to it.
+    std::shared_ptr<std::string> openOutput;
+    /// Bytes of the first entry that were sent.
     size_t outputOffset { 0 };
+    size_t unsentBytes { 0 };
+    std::vector<std::shared_ptr<void const>> outputMemory;
     uint64_t sentBytes { 0 };
     EventLoop::Timer lingerTimer;
     bool connectedState { false };
--- a/Tests/Fuzz/FuzzInputs.cpp
+++ b/Tests/Fuzz/FuzzInputs.cpp
@@ -119,7 +119,7 @@
             return;
         Poco::Net::HTTPResponse head;
         try {
-            CallerMessages::parse({ reader.request(), reader.body(), true, {} }, "fallback", 0_ms);
+            CallerMessages::parse({ reader.request(), reader.body(), true, {}, {} }, "fallback", 0_ms);
         } catch (RefusedRequest const& refused) {
             require(parseJson(CallerMessages::write(refused, head)).isObject(), "a problem is not a JSON object");
         }
--- a/Tests/Gateway/TestGatewayRequest.cpp
+++ b/Tests/Gateway/TestGatewayRequest.cpp
@@ -1,3 +1,4 @@
+#include "Gateway/RecordMerger.h"
 #include "GatewayFixture.h"
 
 #include "CppUTest/TestHarness.h"
@@ -9,6 +10,18 @@
 
 TEST_GROUP(ForwardedRequest) { GatewayFixture fixture; };
 
+// Guards against requests that a planned stop cuts off without an answer when its time is over, and against "not run"
+// for one that runs.
+TEST(ForwardedRequest, StopAnswersWhatStillRuns)
+{
+    fixture.installForwarded(Repeatability::NonIdempotent);
+    auto const request = fixture.request("/fetch/1");
+    request->stop();
+    LONGS_EQUAL(502, fixture.status());
+    fixture.reply(0, 200, "late");
+    LONGS_EQUAL(1, fixture.answers.size());
+}
+
 // Guards against an answer that loses the target's status, signature or body, or keeps fields of its connection.
 TEST(ForwardedRequest, RelaysTheAnswerUnchanged)
 {
@@ -333,3 +346,32 @@
     fixture.request("/search/1");
     LONGS_EQUAL(404, fixture.status());
 }
+
+// Guards against parts that are held whole, although only their greatest records can be in the answer, and against
+// parts of any length.
+TEST(ScatteredRequest, PartsAreBoundedByTheRecordsOfTheRoute)
+{
+    fixture.installScattered(2, 1);
+    fixture.request("/search/1");
+    LONGS_EQUAL(16384, fixture.sent.at(0)->message.bodyLimit);
+    std::string part;
+    for (char letter = 'a'; letter <= 'z'; ++letter)
+        part += std::string(recordBytes, letter);
+    fixture.reply(0, 200, part);
+    fixture.reply(1, 200, std::string(recordBytes, 'y') + "rest");
+    STRCMP_EQUAL(
+        (std::string(recordBytes, 'z') + std::string(recordBytes, 'y')).c_str(), fixture.answers.at(0).body.c_str());
+    LONGS_EQUAL(4194304, largestPart(SIZE_MAX));
+}
+
+// Guards against a planned stop that throws away the parts which would make an answer.
+TEST(ScatteredRequest, StopAnswersWithThePartsThatAreIn)
+{
+    fixture.installScattered(3, 0.6);
+    auto const request = fixture.request("/search/1");
+    fixture.reply(0, 200, "");
+    fixture.reply(1, 200, "");
+    request->stop();
+    LONGS_EQUAL(200, fixture.status());
+    STRCMP_EQUAL("1", fixture.header("Toucan-Missing-Parts").c_str());
+}
--- /dev/null
+++ b/Tests/Integration/misbehaving_target.py
@@ -0,0 +1,115 @@
+"""Targets that answer with bytes without end, for tests and measurements of what one bad target can cost."""
+
+import itertools
+import pathlib
+import socket
+import threading
+import time
+
+from platform_standin import free_port
+
+# Bytes that a fast form sends at once, and the pause after them.
+BLOCK_BYTES = 262144
+BLOCK_PAUSE_S = 0.02
+# Pause after each byte of a slow form.
+BYTE_PAUSE_S = 0.01
+
+START = b"HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nRequest-Id: %s\r\n"
+FILLER = b"x" * 4096
+
+
+def endless_form(form, request_id):
+    """Yields the bytes of a form, piece by piece, without end."""
+    start = START % request_id
+    chunked = start + b"Transfer-Encoding: chunked\r\n\r\n"
+
+    def repeat(piece):
+        """Repeats a piece; several at a time, because the stand-in shares its interpreter with the callers."""
+        return itertools.repeat(piece * max(1, len(FILLER) // len(piece)))
+
+    pieces = {
+        "head-fields": ([start], repeat(b"X-Field: value\r\n")),
+        "head-line": ([start + b"X-Line: "], repeat(FILLER)),
+        "noise": ([], repeat(b"\x07\xffnoise")),
+        "interim": ([], repeat(b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n")),
+        "chunks": ([chunked], repeat(b"1000\r\n" + FILLER + b"\r\n")),
+        "chunk-extensions": ([chunked], repeat(b"1;" + b"e" * 200 + b"\r\nx\r\n")),
+        "trailers": ([chunked + b"0\r\n"], repeat(b"X-Trailer: value\r\n")),
+        "until-close": ([start + b"\r\n"], repeat(FILLER)),
+        "huge-length": ([start + b"Content-Length: 999999999999\r\n\r\n"], repeat(FILLER)),
+        "empty-lines": ([], repeat(b"\r\n")),
+        "others": ([], repeat(START % b"other" + b"Content-Length: 2\r\n\r\nno")),
+    }[form]
+    return itertools.chain(*pieces)
+
+
+FORMS = ("head-fields", "head-line", "noise", "interim", "chunks", "chunk-extensions", "trailers", "until-close",
+         "huge-length", "empty-lines", "others")
+
+
+class MisbehavingTarget:
+    """A target that registers itself and answers every request in one form, fast or one byte at a time."""
+
+    def __init__(self, store, identity, service, zone="wien-a", form="noise", slow=False):
+        self.form, self.slow = form, slow
+        self.bytes_sent = 0
+        self.lock = threading.Lock()
+        self.listener = socket.create_server(("127.0.0.1", free_port()), backlog=128)
+        threading.Thread(target=self.accept, daemon=True).start()
+        store.put(f"servers/{identity}", {
+            "service": service, "addr": "127.0.0.1:%d" % self.listener.getsockname()[1], "zone": zone,
+            "version": "v1", "slots": 8, "state": "ready", "warmup_left_ms": 0, "seq": 1,
+            "born": int(time.time() * 1000)})
+
+    def accept(self):
+        """Serves each connection in a thread of its own until the listener is closed."""
+        while True:
+            try:
+                connection, _ = self.listener.accept()
+            except OSError:
+                return
+            threading.Thread(target=self.serve, args=(connection,), daemon=True).start()
+
+    def serve(self, connection):
+        """Reads one request and answers it until the gateway closes the connection."""
+        with connection:
+            try:
+                request = b""
+                while b"\r\n\r\n" not in request:
+                    received = connection.recv(65536)
+                    if not received:
+                        return
+                    request += received
+                request_id = next((line.split(b":")[1].strip() for line in request.split(b"\r\n")
+                                   if line.lower().startswith(b"request-id:")), b"none")
+                self.send_without_end(connection, endless_form(self.form, request_id))
+            except OSError:
+                pass
+
+    def send_without_end(self, connection, pieces):
+        """Sends the pieces at the pace of the target until the connection breaks."""
+        while True:
+            block = bytearray()
+            while len(block) < (1 if self.slow else BLOCK_BYTES):
+                block += next(pieces)
+            if self.slow:
+                for byte in block:
+                    connection.sendall(bytes([byte]))
+                    time.sleep(BYTE_PAUSE_S)
+            else:
+                connection.sendall(block)
+                time.sleep(BLOCK_PAUSE_S)
+            with self.lock:
+                self.bytes_sent += len(block)
+
+    def stop(self):
+        """Accepts no more connections."""
+        self.listener.close()
+
+
+def peak_memory_mb(pid):
+    """Largest resident memory of a process so far."""
+    for line in pathlib.Path(f"/proc/{pid}/status").read_text(encoding="ascii").splitlines():
+        if line.startswith("VmHWM:"):
+            return int(line.split()[1]) / 1024
+    raise RuntimeError("the process has no VmHWM")
--- a/Tests/Net/TestEventLoop.cpp
+++ b/Tests/Net/TestEventLoop.cpp
@@ -1,6 +1,8 @@
 #include "Net/EventLoop.h"
 #include "NetTestSupport.h"
 
+#include <stdexcept>
+#include <string>
 #include <thread>
 #include <vector>
 
@@ -61,3 +63,28 @@
     LONGS_EQUAL(1, reads);
     this->loop.unwatch(receiver.socket);
 }
+
+// Guards against one unexpected error that ends the process.
+TEST(EventLoop, ExceptionsOfHandlersTimersAndTasksAreContained)
+{
+    RawListener listener;
+    RawPeer sender(listener.socket.address());
+    auto receiver = listener.accept();
+    std::vector<std::string> faults;
+    this->loop.setFaultHook([&faults](std::exception const& exception) { faults.emplace_back(exception.what()); });
+    this->loop.watch(receiver.socket, Poco::Net::PollSet::POLL_READ, [&receiver](int) {
+        receiver.receive();
+        throw std::runtime_error("handler");
+    });
+    int later = 0;
+    this->loop.schedule(Clock::now(), [] { throw std::runtime_error("timer"); });
+    this->loop.schedule(Clock::now(), [&later] { ++later; });
+    this->loop.atTurnEnd([] { throw std::runtime_error("task"); });
+    this->loop.atTurnEnd([&later] { ++later; });
+    sender.send("bytes");
+    for (int turn = 0; turn < 10; ++turn)
+        this->loop.runOnce(5_ms);
+    LONGS_EQUAL(2, later);
+    LONGS_EQUAL(3, faults.size());
+    this->loop.unwatch(receiver.socket);
+}
--- a/Tests/Net/TestHttpClientPool.cpp
+++ b/Tests/Net/TestHttpClientPool.cpp
@@ -312,6 +312,87 @@
     STRCMP_EQUAL("new", this->results[0].body.c_str());
 }
 
+// Guards against interim responses, or responses to other requests, that keep the loop busy without end.
+TEST(HttpClientPool, EndsAnExchangeWithTooManySkippedResponses)
+{
+    std::vector<std::string> const table { "HTTP/1.1 100 Continue\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 3\r\n\r\nold" };
+    for (auto const& skipped : table) {
+        this->results.clear();
+        HttpExchange exchange;
+        exchange.head = Poco::Net::HTTPRequest("GET", "/");
+        exchange.timeout = 500_ms;
+        exchange.isOwnResponse = [](Poco::Net::HTTPResponse const& head, bool) { return head.get("Id", "") == "2"; };
+        exchange.done = [this](HttpClientResult&& result) { this->results.push_back(std::move(result)); };
+        this->pool->send(this->listener.address(), 1, std::move(exchange));
+        auto peer = this->accept();
+        peer.receiveUntilText(this->loop, 500_ms, "\r\n\r\n");
+        size_t sent = 0;
+        while (sent < 100 && this->results.empty()) {
+            peer.send(skipped);
+            ++sent;
+            runUntil(this->loop, 5_ms, [this] { return !this->results.empty(); });
+        }
+        CHECK(sent < 20);
+        this->checkResult(0, HttpTransport::Broken);
+        STRCMP_CONTAINS("too many interim responses", this->results[0].fault.c_str());
+        LONGS_EQUAL(0, this->pool->openConnections(this->listener.address()));
+    }
+}
+
+// Guards against a response that is longer than its request can mean, and against a fault that no log names.
+TEST(HttpClientPool, EndsAnExchangeWhoseBodyExceedsItsOwnLimit)
+{
+    HttpExchange exchange;
+    exchange.head = Poco::Net::HTTPRequest("GET", "/");
+    exchange.timeout = 500_ms;
+    exchange.bodyLimit = 100;
+    exchange.done = [this](HttpClientResult&& result) { this->results.push_back(std::move(result)); };
+    this->pool->send(this->listener.address(), 1, std::move(exchange));
+    auto peer = this->accept();
+    peer.receiveUntilText(this->loop, 500_ms, "\r\n\r\n");
+    peer.send(response(std::string(101, 'x')));
+    CHECK(this->waitForResults(1) < 100_ms);
+    this->checkResult(0, HttpTransport::Broken);
+    STRCMP_EQUAL("response: body too large", this->results[0].fault.c_str());
+}
+
+// Guards against large responses that are buffered beyond the room that all of them share.
+TEST(HttpClientPool, StopsReadingWhileTheBudgetHasNoRoom)
+{
+    auto const budget = ByteBudget::create({ 20000, 1000, 60000 });
+    HttpClientPool bounded(this->loop, { .sizes = { 2048, 1000000 }, .budget = budget, .receiveBytes = 4096 });
+    auto const start = [&] {
+        HttpExchange exchange;
+        exchange.head = Poco::Net::HTTPRequest("GET", "/");
+        exchange.timeout = 2000_ms;
+        exchange.done = [this](HttpClientResult&& result) { this->results.push_back(std::move(result)); };
+        bounded.send(this->listener.address(), 10, std::move(exchange));
+        auto peer = this->accept();
+        peer.receiveUntilText(this->loop, 500_ms, "\r\n\r\n");
+        return peer;
+    };
+    std::string const body(50000, 'x');
+    std::vector<RawPeer> greedy;
+    for (int count = 0; count < 4; ++count) {
+        greedy.push_back(start());
+        greedy.back().send(response(body).substr(0, 40000));
+    }
+    runUntil(this->loop, 100_ms, [] { return false; });
+    CHECK(budget->taken() <= 20000 + 40000 + 4 * 4096);
+    auto usual = start();
+    usual.send(response("small"));
+    CHECK(this->waitForResults(1) < 100_ms);
+    STRCMP_EQUAL("small", this->results[0].body.c_str());
+    // The others go on when one of them gives its room back.
+    for (auto& peer : greedy)
+        peer.socket.close();
+    this->waitForResults(5);
+    LONGS_EQUAL(5, this->results.size());
+    this->results.clear();
+    LONGS_EQUAL(0, budget->taken());
+}
+
 // Guards against work that goes on at a server for nobody.
 TEST(HttpClientPool, CancelClosesTheConnectionAndCallsNobody)
 {
@@ -379,7 +460,7 @@
     RawListener listener;
     std::vector<HttpClientResult> results;
     HttpClientPool pool { loop,
-        { { 2048, 10000 }, 30000_ms, 30000_ms, HttpMessageReader::UnframedBody::UntilClose, {} } };
+        { .sizes = { 2048, 10000 }, .unframedBody = HttpMessageReader::UnframedBody::UntilClose } };
 
     RawPeer request()
     {
--- a/Tests/Net/TestHttpServerSession.cpp
+++ b/Tests/Net/TestHttpServerSession.cpp
@@ -1,6 +1,7 @@
 #include "Net/HttpServer.h"
 #include "NetTestSupport.h"
 
+#include <algorithm>
 #include <memory>
 #include <string>
 #include <vector>
@@ -269,7 +270,6 @@
     LONGS_EQUAL(8, this->server->connections());
 }
 
-// Guards against a planned stop that cuts a request which was on its way, or a connection that waits in the backlog.
 // Guards against idle connections that keep callers with requests out.
 TEST(HttpServerSession, IdleConnectionMakesRoomForANewOne)
 {
@@ -360,6 +360,7 @@
     this->requests.clear();
 }
 
+// Guards against a planned stop that cuts a request which was on its way, or a connection that waits in the backlog.
 TEST(HttpServerSession, ServesRequestsThatArriveDuringTheStop)
 {
     auto idle = this->connect();
