--- a/Scripts/gateway_soak.py
+++ b/Scripts/gateway_soak.py
@@ -14,6 +14,7 @@
 import pathlib
 import random
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -23,6 +24,7 @@
 ROOT = pathlib.Path(__file__).resolve().parents[1]
 sys.path.insert(0, str(ROOT / "Tests" / "Integration"))
 
+from misbehaving_target import FORMS, MisbehavingServer, MisbehavingTarget, peak_memory_mb  # noqa: E402
 from platform_standin import (HOST, GatewayProcess, Store, Target, configuration, free_port, route,  # noqa: E402
                               wait_until)
 
@@ -38,6 +40,8 @@
 CALM_S = 4.0
 EXTRA_RATIO, EXTRA_ALLOWANCE, EXTRA_WINDOW_S = 0.2, 54, 10.0
 DEADLINE_MS = 1000
+# Bound for a machine of 160 MB, whatever targets, callers, relays and the store send.
+MEMORY_MB = 48
 # Answers may take this much longer than the deadline on a busy machine.
 DEADLINE_SLACK_S = 0.5
 
@@ -130,7 +134,8 @@
                 self.targets.append(ProxiedTarget(self.store, f"{service}-{zone}", service, zone, ports.pop()))
         self.retired = []
         self.configure()
-        relays = [f"127.0.0.1:{free_port()}" for _ in range(RELAYS)]
+        self.bad_relay = MisbehavingServer()
+        relays = [f"127.0.0.1:{free_port()}" for _ in range(RELAYS)] + [self.bad_relay.address]
         self.nodes = []
         for index in range(NODES):
             settings = {"relays": relays, "relayListen": relays[index] if index < RELAYS else f"127.0.0.1:{free_port()}"}
@@ -222,6 +227,45 @@
             target.behaviour = None
             self.release(target)
 
+    def fault_target_endless(self, seconds):
+        """One more target of a service answers with bytes without end, fast or slowly."""
+        service = self.random.choice((*SHARDS, "single"))
+        identity = f"{service}-endless-{self.random.randrange(10**6)}"
+        target = MisbehavingTarget(self.store, identity, service, self.random.choice(ZONES),
+                                   self.random.choice(FORMS), self.random.random() < 0.5)
+        time.sleep(seconds)
+        self.store.delete(f"servers/{identity}")
+        target.stop()
+
+    def fault_relay_endless(self, seconds):
+        """A relay that nodes may ask answers with bytes without end."""
+        self.bad_relay.start(self.random.choice(FORMS), self.random.random() < 0.5)
+        time.sleep(seconds)
+        self.bad_relay.pause()
+
+    def fault_caller_endless(self, seconds):
+        """Callers send heads byte by byte, bodies and requests without end, or nothing on many connections."""
+        node = self.random.choice(self.nodes)
+        head = f"POST /pull/x HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: endless\r\n".encode()
+        what = self.random.choice(("head", "body", "pipelined", "idle"))
+        end = time.monotonic() + seconds
+        with contextlib.ExitStack() as stack, contextlib.suppress(OSError):
+            connections = [stack.enter_context(socket.create_connection(("127.0.0.1", node.caller_port), 1))
+                           for _ in range(100 if what == "idle" else 10)]
+            for connection in connections:
+                connection.settimeout(0.05)
+                if what == "body":
+                    connection.sendall(head + b"Transfer-Encoding: chunked\r\n\r\n")
+            piece = {"head": b"X", "body": b"1000\r\n" + b"x" * 0x1000 + b"\r\n", "idle": b"",
+                     "pipelined": f"GET /none HTTP/1.1\r\nHost: {HOST}\r\n\r\n".encode() * 100}[what]
+            while time.monotonic() < end and connections:
+                for connection in list(connections):
+                    try:
+                        connection.sendall(piece)
+                    except OSError:
+                        connections.remove(connection)
+                time.sleep(0.01)
+
     def fault_target_slow(self, seconds):
         """A target is slow or stands still."""
         target = self.pick(self.targets)
@@ -281,7 +325,7 @@
         if not self.pick([self.store]):
             return
         with self.history.disturbed("store"):
-            what = self.random.choice(("refuse", "silent", "cut", "history"))
+            what = self.random.choice(("refuse", "silent", "endless", "cut", "history"))
             if what == "cut":
                 self.proxy.set(self.store.address, cut=True)
             elif what == "history":
@@ -306,6 +350,7 @@
         node = self.pick(self.nodes)
         if node:
             with self.history.disturbed(f"node {node.name} signal {number}"):
+                self.check_memory(node)
                 code = node.stop(number)
                 if number == signal.SIGTERM and code != 0:
                     self.history.calls.append({"breach": f"planned stop of {node.name} ended with {code}"})
@@ -381,10 +426,17 @@
                     target.server.stop()
             self.store.stop()
 
+    def check_memory(self, node):
+        """A node holds no more than its bound, whatever it is sent."""
+        with contextlib.suppress(OSError, RuntimeError):
+            if (memory := peak_memory_mb(node.process.pid)) > MEMORY_MB:
+                self.history.calls.append({"breach": f"MEMORY: {node.name} held {memory:.0f} MB"})
+
     def check_recovered(self):
         """All nodes must serve the last version again once the faults are over."""
         last = self.added[-1]
         for index, node in enumerate(self.nodes):
+            self.check_memory(node)
             end = time.monotonic() + CONFIGURATION_S + CALM_S
             while True:
                 self.send({}, index, "added", f"{last}x", f"recovered-{node.name}-{time.monotonic_ns()}")
--- a/Tests/Fuzz/FuzzInputs.cpp
+++ b/Tests/Fuzz/FuzzInputs.cpp
@@ -11,6 +11,7 @@
 #include "GatewayNode/RelayCodec.h"
 #include "Net/HttpMessageReader.h"
 #include "Node/CallerMessages.h"
+#include "Tests/Gateway/GatewayFixture.h"
 #include "platform/Documents.h"
 
 #include <algorithm>
@@ -238,6 +239,37 @@
         require(Platform::readEntry(key, text).has_value(), "an entry of a known key says nothing");
 }
 
+/// What an entry says is used: a request on its routes and targets ends, whatever numbers it holds.
+static void serveWithStoreEntry(std::string_view text)
+{
+    GatewayFixture fixture;
+    auto& directory = fixture.gateway.shared().directory;
+    try {
+        directory.put(Platform::readRegistration("i-1", text), fixture.time);
+    } catch (Error const&) {
+        // Names no target.
+    }
+    try {
+        fixture.gateway.install(Platform::readConfiguration(text));
+    } catch (Error const&) {
+        fixture.gateway.install(Platform::readConfiguration(entrySamples[1]));
+    }
+    for (auto const* service : { "a", "b" })
+        fixture.addTarget(std::string("target-") + service, service);
+    ProxiedRequest request;
+    request.head = Poco::Net::HTTPRequest("GET", "/x/1", "HTTP/1.1");
+    request.head.set("Host", "h");
+    auto const running = fixture.gateway.handle(
+        std::move(request), [&fixture](ProxiedAnswer&& answer) { fixture.answers.push_back(std::move(answer)); });
+    fixture.advance(10_ms);
+    for (size_t index = 0; index < fixture.sent.size() && index < 2; ++index)
+        fixture.reply(index, 200, "0123456789abcdef");
+    fixture.advance(5000_ms);
+    if (running)
+        running->stop();
+    require(fixture.answers.size() == 1, "a request has not exactly one answer");
+}
+
 static void readRelayedItem(std::string_view text)
 {
     try {
@@ -282,6 +314,7 @@
         { "settings-file", readSettings, settingsSamples },
         { "unframed-response", readUnframedResponse, responseSamples },
         { "store-entry", readStoreEntry, entrySamples },
+        { "served-entry", serveWithStoreEntry, entrySamples },
         { "relayed-item", readRelayedItem, itemSamples },
         { "observation-report", readObservationReport, reportSamples },
         { "gateway-settings", readGatewaySettings, gatewaySettingsSamples },
--- a/Tests/Integration/misbehaving_target.py
+++ b/Tests/Integration/misbehaving_target.py
@@ -47,25 +47,44 @@
          "huge-length", "empty-lines", "others")
 
 
-class MisbehavingTarget:
-    """A target that registers itself and answers every request in one form, fast or one byte at a time."""
+class MisbehavingServer:
+    """A server that answers every request in one form, fast or one byte at a time. It refuses connections until start()."""
 
-    def __init__(self, store, identity, service, zone="wien-a", form="noise", slow=False):
-        self.form, self.slow = form, slow
+    def __init__(self):
+        self.form, self.slow = "noise", False
         self.bytes_sent = 0
         self.lock = threading.Lock()
-        self.listener = socket.create_server(("127.0.0.1", free_port()), backlog=128)
-        threading.Thread(target=self.accept, daemon=True).start()
-        store.put(f"servers/{identity}", {
-            "service": service, "addr": "127.0.0.1:%d" % self.listener.getsockname()[1], "zone": zone,
-            "version": "v1", "slots": 8, "state": "ready", "warmup_left_ms": 0, "seq": 1,
-            "born": int(time.time() * 1000)})
+        self.port = free_port()
+        self.listener = None
+
+    @property
+    def address(self):
+        """IP address and port."""
+        return f"127.0.0.1:{self.port}"
+
+    def start(self, form, slow):
+        """Begins to accept connections."""
+        self.form, self.slow = form, slow
+        with self.lock:
+            if self.listener:
+                return
+            self.listener = socket.create_server(("127.0.0.1", self.port), backlog=128)
+        threading.Thread(target=self.accept, args=(self.listener,), daemon=True).start()
 
-    def accept(self):
+    def pause(self):
+        """Accepts no more connections."""
+        with self.lock:
+            listener, self.listener = self.listener, None
+        if listener:
+            # Closing alone leaves the thread that waits for a connection, and the port with it.
+            listener.shutdown(socket.SHUT_RDWR)
+            listener.close()
+
+    def accept(self, listener):
         """Serves each connection in a thread of its own until the listener is closed."""
         while True:
             try:
-                connection, _ = self.listener.accept()
+                connection, _ = listener.accept()
             except OSError:
                 return
             threading.Thread(target=self.serve, args=(connection,), daemon=True).start()
@@ -102,9 +121,20 @@
             with self.lock:
                 self.bytes_sent += len(block)
 
+
+class MisbehavingTarget(MisbehavingServer):
+    """A misbehaving server that registers itself as a target."""
+
+    def __init__(self, store, identity, service, zone="wien-a", form="noise", slow=False):
+        super().__init__()
+        self.start(form, slow)
+        store.put(f"servers/{identity}", {
+            "service": service, "addr": self.address, "zone": zone, "version": "v1", "slots": 8, "state": "ready",
+            "warmup_left_ms": 0, "seq": 1, "born": int(time.time() * 1000)})
+
     def stop(self):
         """Accepts no more connections."""
-        self.listener.close()
+        self.pause()
 
 
 def peak_memory_mb(pid):
--- a/Tests/Integration/platform_standin.py
+++ b/Tests/Integration/platform_standin.py
@@ -110,7 +110,7 @@
         self.revision = 100
         self.oldest_event = 100
         self.calls = collections.Counter()
-        # None serves; "refuse" answers 503, "silent" answers nothing.
+        # None serves; "refuse" answers 503, "silent" answers nothing, "endless" answers with bytes without end.
         self.fault = None
         store = self
 
@@ -139,6 +139,9 @@
         if self.fault == "silent":
             time.sleep(2)
             return
+        if self.fault == "endless":
+            self.answer_without_end(call)
+            return
         if url.path == "/api/kv-range":
             self.answer_range(call, query)
         elif url.path == "/api/kv-watch":
@@ -146,6 +149,17 @@
         else:
             call.answer(404)
 
+    def answer_without_end(self, call):
+        """Sends a body without end until the caller closes or the fault is over."""
+        try:
+            call.wfile.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+            while self.fault == "endless":
+                call.wfile.write(b"8000\r\n" + b"[" * 0x8000 + b"\r\n")
+                time.sleep(0.001)
+        except OSError:
+            pass
+        call.close_connection = True
+
     def answer_json(self, call, value):
         """Sends a JSON body."""
         call.answer(200, json.dumps(value).encode(), [("Content-Type", "application/json")])
--- a/Tests/PlatformAdapter/TestDocuments.cpp
+++ b/Tests/PlatformAdapter/TestDocuments.cpp
@@ -126,9 +126,22 @@
         = R"({"version":1,"routes":[{"name":"r","host":"h","prefix":"/","route_kind":"idempotent",)"
           R"("timeout_ms":1,"attempts":1,"gather":[]}],"services":[]})";
     std::vector<std::string> const documents { "{}", R"({"version":1,"routes":[{}],"services":[]})",
-        R"({"version":"1"})", "\x01", withoutShards };
+        R"({"version":"1"})", "\x01", withoutShards,
+        R"({"version":1,"routes":[{"name":"r","host":"h","prefix":"/","route_kind":"x","timeout_ms":1,"attempts":1,)"
+        R"("traffic_split":[{"service":"s","weight":-1}]}],"services":[]})" };
     for (auto const& text : documents) {
         auto const change = readEntry("op/config", text);
         CHECK(std::get_if<UnusableEntry>(&*change));
     }
 }
+
+// Guards against numbers beyond the types that hold them, which would become small numbers or times without order.
+TEST(Documents, HugeNumbersAreCutToTheLargestThatFit)
+{
+    auto const configuration = readConfiguration(
+        R"({"version":1,"routes":[{"name":"r","host":"h","prefix":"/","route_kind":"idempotent","timeout_ms":1e300,)"
+        R"("attempts":4294967297,"service":"s"}],"services":[{"name":"s","max_conns":4294967296}]})");
+    CHECK(configuration.routes[0].maximumAttempts > 1000000);
+    CHECK(configuration.routes[0].timeout <= 86400000_ms);
+    CHECK(configuration.services[0].connectionLimit > 1000000);
+}
