Compress the entries that a relay tells its followers, once for all of them

Ruled out: compressing the JSON as it was: base64 hides repeated text from compression. Change: followers ask for compact news; entries are rewritten with plain text, compressed by zlib (Poco) once for each pair of revisions, and expanded within 8 MiB. Followers and relays of the version before go on with JSON.

--- a/Libraries/GatewayNode/GatewayServer.cpp
+++ b/Libraries/GatewayNode/GatewayServer.cpp
@@ -69,7 +69,8 @@
           this->createRegistryHooks())
 {
     if (!this->settings.relayListen.empty())
-        this->relayServer = std::make_unique<RelayServer>(this->loop, this->settings.relayListen, this->registry);
+        this->relayServer = std::make_unique<RelayServer>(
+            this->loop, this->settings.relayListen, this->registry, this->hooks.compactEntry);
     if (!this->settings.metricsListen.empty())
         this->metrics = std::make_unique<HttpServer>(this->loop, this->settings.metricsListen,
             HttpServer::Limits { {}, adminConnections },
--- a/Libraries/GatewayNode/GatewayServer.h
+++ b/Libraries/GatewayNode/GatewayServer.h
@@ -27,6 +27,8 @@
         std::function<RegistrySync::Hooks(EventLoop&, GatewaySettings const&)> connectRegistry;
         /// Reads entries that other nodes pass on.
         RegistryDecoder decodeEntry;
+        /// Rewrites entries for other nodes.
+        RegistryCompactor compactEntry;
         GatewayHeaders headers;
         /// Reads the settings again after reload().
         std::function<GatewaySettings()> readSettings;
--- a/Libraries/GatewayNode/RelayClient.cpp
+++ b/Libraries/GatewayNode/RelayClient.cpp
@@ -28,12 +28,15 @@
     uri.addQueryParameter("after", std::to_string(question.revision));
     uri.addQueryParameter("observation", std::to_string(question.observation));
     uri.addQueryParameter("wait", std::to_string(static_cast<uint64_t>(question.wait.value)));
+    uri.addQueryParameter(RelayServer::compactParameter, "1");
     this->call(relay, uri.getPathAndQuery(), std::move(done));
 }
 
 void RelayClient::copy(std::string const& relay, std::function<void(RelayedNews&&)> done)
 {
-    this->call(relay, RelayServer::entriesPath, std::move(done));
+    Poco::URI uri(RelayServer::entriesPath);
+    uri.addQueryParameter(RelayServer::compactParameter, "1");
+    this->call(relay, uri.getPathAndQuery(), std::move(done));
 }
 
 void RelayClient::report(
@@ -67,7 +70,8 @@
             news.reason = describeFailure(result);
         } else {
             try {
-                news = readRelayedNews(result.body, this->decode);
+                auto const read = result.head.getContentType() == compactNewsType ? readCompactNews : readRelayedNews;
+                news = read(result.body, this->decode);
             } catch (std::exception const& error) {
                 news.reason = error.what();
             }
--- a/Libraries/GatewayNode/RelayCodec.cpp
+++ b/Libraries/GatewayNode/RelayCodec.cpp
@@ -3,10 +3,19 @@
 #include "Base/Error.h"
 #include "Base/Json.h"
 
+#include <Poco/DeflatingStream.h>
+#include <Poco/Exception.h>
+#include <Poco/InflatingStream.h>
+#include <Poco/MemoryStream.h>
 #include <algorithm>
+#include <array>
+#include <sstream>
 
 namespace Toucan {
 
+/// Bounds what a small body can expand to.
+constexpr size_t mostEntryBytes = 8388608;
+
 /// Slowdowns are written as whole percents.
 constexpr double percent = 100;
 
@@ -58,7 +67,7 @@
     return readList(document["observations"]);
 }
 
-std::string writeRelayedNews(RelayedNews const& news)
+static Json::Value writeNewsFields(RelayedNews const& news)
 {
     Json::Value body(Json::objectValue);
     body["revision"] = Json::UInt64 { news.revision };
@@ -67,17 +76,59 @@
         body["outageEndedMs"] = wholeMilliseconds(*news.outageEnded);
     body["failureDomain"] = news.failureDomain;
     body["followers"] = news.followers;
-    for (auto const& event : news.events)
-        body["entries"].append(event.source);
     if (!news.observations.empty())
         body["observations"] = writeList(news.observations);
     body["lastObservation"] = Json::UInt64 { news.lastObservation };
+    return body;
+}
+
+std::string writeRelayedNews(RelayedNews const& news)
+{
+    auto body = writeNewsFields(news);
+    for (auto const& event : news.events)
+        body["entries"].append(event.source);
     return writeJson(body);
 }
 
-RelayedNews readRelayedNews(std::string_view body, RegistryDecoder const& decode)
+std::string compressEntries(std::span<RegistryEvent const> events, RegistryCompactor const& compact)
+{
+    if (events.empty())
+        return {};
+    std::ostringstream compressed;
+    Poco::DeflatingOutputStream stream(compressed, Poco::DeflatingStreamBuf::STREAM_ZLIB);
+    // The reader of a stream that broke off sees its end only.
+    stream << events.size() << '\n';
+    for (auto const& event : events)
+        stream << compact(event.source) << '\n';
+    stream.close();
+    return compressed.str();
+}
+
+std::string writeCompactNews(RelayedNews const& news, std::string_view compressedEntries)
+{
+    auto body = writeJson(writeNewsFields(news));
+    body += '\n';
+    body += compressedEntries;
+    return body;
+}
+
+static std::string expandEntries(std::string_view compressed)
+{
+    Poco::MemoryInputStream source(compressed.data(), static_cast<std::streamsize>(compressed.size()));
+    Poco::InflatingInputStream stream(source, Poco::InflatingStreamBuf::STREAM_ZLIB);
+    std::string text;
+    std::array<char, 16384> buffer;
+    while (stream.good() && text.size() <= mostEntryBytes) {
+        stream.read(buffer.data(), buffer.size());
+        text.append(buffer.data(), static_cast<size_t>(stream.gcount()));
+    }
+    if (stream.bad() || text.size() > mostEntryBytes || (!text.empty() && text.back() != '\n'))
+        throw Error(ErrorKind::InvalidInput, "The entries cannot be decompressed", "Run the same version on all nodes");
+    return text;
+}
+
+static RelayedNews readNewsFields(Json::Value const& document)
 {
-    auto const document = parseJson(body);
     if (!document.isObject() || !document["revision"].isUInt64() || !document["ageMs"].isUInt64()
         || !document["failureDomain"].isString())
         throw Error(ErrorKind::InvalidInput, "A relay's answer lacks revision, ageMs or failureDomain",
@@ -94,6 +145,41 @@
     if (document["lastObservation"].isUInt64())
         news.lastObservation = document["lastObservation"].asUInt64();
     news.observations = readList(document["observations"]);
+    return news;
+}
+
+RelayedNews readCompactNews(std::string_view body, RegistryDecoder const& decode)
+{
+    auto const end = body.find('\n');
+    if (end == std::string_view::npos)
+        throw Error(ErrorKind::InvalidInput, "A relay's answer has no entries", "Run the same version on all nodes");
+    auto news = readNewsFields(parseJson(body.substr(0, end)));
+    auto const compressed = body.substr(end + 1);
+    if (compressed.empty())
+        return news;
+    std::string text;
+    try {
+        text = expandEntries(compressed);
+    } catch (Poco::Exception const& exception) {
+        throw Error(ErrorKind::InvalidInput, "The entries cannot be decompressed: " + exception.displayText(),
+            "Run the same version on all nodes");
+    }
+    std::vector<std::string_view> lines;
+    for (std::string_view rest = text; !rest.empty(); rest.remove_prefix(lines.back().size() + 1))
+        lines.push_back(rest.substr(0, rest.find('\n')));
+    if (lines.empty() || lines.front() != std::to_string(lines.size() - 1))
+        throw Error(ErrorKind::InvalidInput, "A relay's answer lacks entries", "Run the same version on all nodes");
+    for (size_t index = 1; index < lines.size(); ++index) {
+        if (auto event = decode(std::string(lines[index])))
+            news.events.push_back(std::move(*event));
+    }
+    return news;
+}
+
+RelayedNews readRelayedNews(std::string_view body, RegistryDecoder const& decode)
+{
+    auto const document = parseJson(body);
+    auto news = readNewsFields(document);
     for (auto const& entry : document["entries"]) {
         if (!entry.isString())
             throw Error(ErrorKind::InvalidInput, "A relay's entry is not a text", "Run the same version on all nodes");
--- a/Libraries/GatewayNode/RelayCodec.h
+++ b/Libraries/GatewayNode/RelayCodec.h
@@ -12,6 +12,22 @@
 /// Reads an entry as the registry wrote it; empty when it concerns the gateway in no way.
 using RegistryDecoder = std::function<std::optional<RegistryEvent>(std::string const& source)>;
 
+/// Rewrites an entry as the registry wrote it into a text without line breaks that compresses well and that the decoder
+/// reads as well.
+using RegistryCompactor = std::function<std::string(std::string const& source)>;
+
+/// Media type of a compact body; a relay sends it to followers that ask for it, because older versions read JSON only.
+constexpr auto compactNewsType = "application/vnd.toucangauge.news";
+
+/// The entries of many answers, one a line, compressed once (RFC 1950).
+std::string compressEntries(std::span<RegistryEvent const> events, RegistryCompactor const& compact);
+
+/// Compact body: the JSON of writeRelayedNews() without its entries, a line break, and the compressed entries.
+std::string writeCompactNews(RelayedNews const& news, std::string_view compressedEntries);
+
+/// Throws Error of kind InvalidInput when the body cannot be read, or holds more than 8 MiB of entries.
+RelayedNews readCompactNews(std::string_view body, RegistryDecoder const& decode);
+
 /// JSON body that one node sends another: {"revision", "ageMs", "outageEndedMs", "failureDomain", "followers",
 /// "entries": [text], "observations": [[target, slowdown, age in ms]], "lastObservation"}.
 std::string writeRelayedNews(RelayedNews const& news);
--- a/Libraries/GatewayNode/RelayServer.cpp
+++ b/Libraries/GatewayNode/RelayServer.cpp
@@ -15,10 +15,13 @@
 /// sending more than 250 answers a second.
 constexpr Milliseconds shortestFlushPeriod { 100 };
 constexpr Milliseconds flushPeriodPerFollower { 4 };
+/// Followers differ by a few revisions at most while changes come in quick succession.
+constexpr size_t mostCompressedEntries = 8;
 
-RelayServer::RelayServer(EventLoop& loop, std::string const& address, RegistrySync& sync)
+RelayServer::RelayServer(EventLoop& loop, std::string const& address, RegistrySync& sync, RegistryCompactor compact)
     : loop(loop)
     , sync(sync)
+    , compact(std::move(compact))
     , server(loop, address, { {}, mostFollowers }, this->createHooks())
 {
 }
@@ -48,12 +51,14 @@
     try {
         Poco::URI const uri(request.head.getURI());
         auto const revision = readNumber(uri, "after");
+        auto const form = readNumber(uri, compactParameter).value_or(0) ? Form::Compact : Form::Json;
         if (uri.getPath() == entriesPath)
-            this->answer(session, this->sync.relay().snapshot());
+            this->answer(session, this->sync.relay().snapshot(), form, std::nullopt);
         else if (uri.getPath() == changesPath && revision)
             this->answerChanges(session,
                 { *revision, readNumber(uri, "observation").value_or(0),
-                    Milliseconds { static_cast<double>(readNumber(uri, "wait").value_or(0)) } });
+                    Milliseconds { static_cast<double>(readNumber(uri, "wait").value_or(0)) } },
+                form);
         else if (uri.getPath() == observationsPath)
             this->takeReport(session, request);
         else
@@ -74,17 +79,17 @@
     return news;
 }
 
-void RelayServer::answerChanges(HttpServerSession::Pointer const& session, RelayQuestion question)
+void RelayServer::answerChanges(HttpServerSession::Pointer const& session, RelayQuestion question, Form form)
 {
     auto& relay = this->sync.relay();
     auto news = this->newsFor(question);
     if (news.status != RegistryStatus::Ok || relay.hasChangesAfter(question.revision)) {
-        this->answer(session, std::move(news));
+        this->answer(session, std::move(news), form, question.revision);
         return;
     }
-    auto const answerNow = [this, session, question] {
+    auto const answerNow = [this, session, question, form] {
         this->stopWaiting(session);
-        this->answer(session, this->newsFor(question));
+        this->answer(session, this->newsFor(question), form, question.revision);
     };
     this->waiting[session.get()] = { relay.wait(answerNow),
         this->loop.schedule(Clock::now() + std::min(question.wait, longestWait), answerNow), answerNow };
@@ -139,7 +144,20 @@
 
 void RelayServer::onGone(HttpServerSession::Pointer const& session) { this->stopWaiting(session); }
 
-void RelayServer::answer(HttpServerSession::Pointer const& session, RelayedNews&& news)
+std::string const& RelayServer::compressed(RelayedNews const& news, std::optional<uint64_t> after)
+{
+    for (auto const& entry : this->compressedEntries) {
+        if (entry.after == after && entry.revision == news.revision)
+            return entry.bytes;
+    }
+    if (this->compressedEntries.size() >= mostCompressedEntries)
+        this->compressedEntries.pop_front();
+    this->compressedEntries.push_back({ after, news.revision, compressEntries(news.events, this->compact) });
+    return this->compressedEntries.back().bytes;
+}
+
+void RelayServer::answer(
+    HttpServerSession::Pointer const& session, RelayedNews&& news, Form form, std::optional<uint64_t> after)
 {
     if (news.status != RegistryStatus::Ok) {
         bool const lost = news.status == RegistryStatus::HistoryLost;
@@ -151,6 +169,11 @@
     this->sync.setFollowers(static_cast<uint32_t>(this->server.connections()));
     this->sync.describe(news);
     HTTPResponse head(HTTPResponse::HTTP_OK);
+    if (form == Form::Compact) {
+        head.setContentType(compactNewsType);
+        session->respond(head, writeCompactNews(news, news.events.empty() ? "" : this->compressed(news, after)));
+        return;
+    }
     head.setContentType("application/json");
     session->respond(head, writeRelayedNews(news));
 }
--- a/Libraries/GatewayNode/RelayServer.h
+++ b/Libraries/GatewayNode/RelayServer.h
@@ -2,8 +2,10 @@
 
 #include "Gateway/ObservationFeed.h"
 #include "Gateway/RegistrySync.h"
+#include "GatewayNode/RelayCodec.h"
 #include "Net/HttpServer.h"
 
+#include <deque>
 #include <memory>
 #include <string>
 #include <unordered_map>
@@ -19,8 +21,11 @@
     static constexpr auto observationsPath = "/v1/targets/observations";
     static constexpr Milliseconds longestWait { 800 };
 
+    /// Query parameter of a question that asks for a compact answer.
+    static constexpr auto compactParameter = "compact";
+
     /// Throws as TcpListener does. `sync` must outlive the server.
-    RelayServer(EventLoop& loop, std::string const& address, RegistrySync& sync);
+    RelayServer(EventLoop& loop, std::string const& address, RegistrySync& sync, RegistryCompactor compact);
 
     /// Passes observations on to the followers, after a moment in which more may come.
     void publish(std::span<TargetObservation const> observations);
@@ -32,20 +37,38 @@
         std::function<void()> answerNow;
     };
 
+    /// Form in which a follower reads an answer.
+    enum class Form {
+        Json,
+        Compact,
+    };
+    /// Compressed entries of one answer; followers ask the same within moments of each other.
+    struct CompressedEntries {
+        /// Revision of the question; empty for all entries.
+        std::optional<uint64_t> after;
+        uint64_t revision { 0 };
+        std::string bytes;
+    };
+
     HttpServerSession::Hooks createHooks();
     void onRequest(HttpServerSession::Pointer const& session, HttpServerRequest const& request);
     void onGone(HttpServerSession::Pointer const& session);
-    void answerChanges(HttpServerSession::Pointer const& session, RelayQuestion question);
+    void answerChanges(HttpServerSession::Pointer const& session, RelayQuestion question, Form form);
     void takeReport(HttpServerSession::Pointer const& session, HttpServerRequest const& request);
     RelayedNews newsFor(RelayQuestion const& question) const;
     void flushSoon();
     void flush();
-    void answer(HttpServerSession::Pointer const& session, RelayedNews&& news);
+    /// `after` is the revision of the question; empty when all entries were asked for.
+    void answer(
+        HttpServerSession::Pointer const& session, RelayedNews&& news, Form form, std::optional<uint64_t> after);
+    std::string const& compressed(RelayedNews const& news, std::optional<uint64_t> after);
     void stopWaiting(HttpServerSession::Pointer const& session);
 
     EventLoop& loop;
     RegistrySync& sync;
+    RegistryCompactor compact;
     ObservationFeed feed;
+    std::deque<CompressedEntries> compressedEntries;
     bool flushPending { false };
     std::unordered_map<HttpServerSession*, Waiting> waiting;
     HttpServer server;
--- /dev/null
+++ b/Tests/Gateway/TestRelayCodec.cpp
@@ -0,0 +1,99 @@
+#include "Base/Error.h"
+#include "GatewayNode/RelayCodec.h"
+
+#include <string>
+#include <vector>
+
+#include "CppUTest/TestHarness.h"
+
+using namespace Toucan;
+
+// clang-format off
+TEST_GROUP(RelayCodec)
+{
+    std::vector<std::string> decoded;
+
+    RegistryDecoder decoder()
+    {
+        return [this](std::string const& source) -> std::optional<RegistryEvent> {
+            this->decoded.push_back(source);
+            return std::nullopt;
+        };
+    }
+    static std::vector<RegistryEvent> events(std::vector<std::string> const& sources)
+    {
+        std::vector<RegistryEvent> result(sources.size());
+        for (size_t index = 0; index < sources.size(); ++index)
+            result[index].source = sources[index];
+        return result;
+    }
+    static std::string unchanged(std::string const& source) { return source; }
+};
+// clang-format on
+
+// Guards against entries that are lost, doubled or changed on the way between nodes.
+TEST(RelayCodec, CompactNewsHoldAllEntries)
+{
+    RelayedNews news;
+    news.revision = 7;
+    news.age = 12_ms;
+    news.failureDomain = "wien-a";
+    news.lastObservation = 3;
+    news.observations = { { "t1", 2.5, 10_ms } };
+    auto const entries = compressEntries(events({ "first", "{\"second\":1}", "third" }), unchanged);
+    auto const read = readCompactNews(writeCompactNews(news, entries), this->decoder());
+    LONGS_EQUAL(7, read.revision);
+    DOUBLES_EQUAL(12, read.age.value, 0);
+    LONGS_EQUAL(1, read.observations.size());
+    LONGS_EQUAL(3, this->decoded.size());
+    STRCMP_EQUAL("{\"second\":1}", this->decoded[1].c_str());
+    this->decoded.clear();
+    readCompactNews(writeCompactNews(news, ""), this->decoder());
+    LONGS_EQUAL(0, this->decoded.size());
+}
+
+// Guards against the cost of a configuration that is sent to every follower: repeated text must shrink.
+TEST(RelayCodec, RepeatedTextIsCompressed)
+{
+    std::string configuration;
+    for (int route = 0; route < 100; ++route)
+        configuration
+            += R"({"name":"route-)" + std::to_string(route) + R"(","route_kind":"idempotent","timeout_ms":1000})";
+    CHECK(compressEntries(events({ configuration }), unchanged).size() < configuration.size() / 8);
+}
+
+// Guards against an answer that broke off and is taken for a whole one, and against a relay that sends no news.
+TEST(RelayCodec, CutNewsAreRefused)
+{
+    RelayedNews news;
+    news.failureDomain = "wien-a";
+    std::vector<std::string> sources;
+    for (int entry = 0; entry < 50; ++entry)
+        sources.push_back("entry " + std::to_string(entry * 7919));
+    auto const body = writeCompactNews(news, compressEntries(events(sources), unchanged));
+    auto const start = body.find('\n') + 1;
+    for (auto size = start + 1; size < body.size(); ++size) {
+        this->decoded.clear();
+        try {
+            readCompactNews(std::string_view(body).substr(0, size), this->decoder());
+            LONGS_EQUAL(sources.size(), this->decoded.size());
+            // Only the checksum at the end may be missing.
+            CHECK(body.size() - size <= 4);
+        } catch (Error const&) {
+            LONGS_EQUAL(0, this->decoded.size());
+        }
+    }
+    CHECK_THROWS(Error, readCompactNews("", this->decoder()));
+    CHECK_THROWS(Error, readCompactNews("{}\n", this->decoder()));
+    CHECK_THROWS(Error, readCompactNews(body.substr(0, start) + "noise", this->decoder()));
+}
+
+// Guards against a small body that expands until the memory is full.
+TEST(RelayCodec, ExpansionIsBounded)
+{
+    RelayedNews news;
+    news.failureDomain = "wien-a";
+    auto const bomb = compressEntries(events({ std::string(20000000, 'x') }), unchanged);
+    CHECK(bomb.size() < 100000);
+    CHECK_THROWS(Error, readCompactNews(writeCompactNews(news, bomb), this->decoder()));
+}
--- a/Tests/Integration/test_gateway.py
+++ b/Tests/Integration/test_gateway.py
@@ -1,6 +1,7 @@
 """The gateway as a real process between callers, targets and the platform's store (all stand-ins)."""
 
 import http.client
+import json
 import signal
 import socket
 import tempfile
@@ -8,8 +9,8 @@
 import time
 import unittest
 
-from platform_standin import (HOST, GatewayProcess, Store, Target, call, configuration, free_port, http_get, route,
-                              wait_until)
+from platform_standin import (HOST, GatewayProcess, Handler, QuietServer, Store, Target, call, configuration,
+                              free_port, http_get, route, wait_until)
 
 # A configuration must be in force within this time of the store's answer.
 CONFIGURATION_BOUND_S = 3
@@ -380,6 +381,35 @@
         self.relay.send_signal(signal.SIGCONT)
         wait_until(lambda: call(self.relay.caller_port, "/second/x", "r2").status == 200, CONFIGURATION_BOUND_S)
 
+    # Guards against nodes of the version before, which read JSON only, during a rolling replacement.
+    def test_relay_answers_in_json_unless_asked_for_compact_news(self):
+        status, body = http_get(int(self.relay_address.split(":")[1]), "/v1/registry/entries")
+        self.assertEqual(status, 200)
+        news = json.loads(body)
+        items = [json.loads(entry) for entry in news["entries"]]
+        self.assertEqual({item["key"] for item in items}, {"op/config", "servers/target-1"})
+        self.assertTrue(all("value" in item for item in items))
+
+    # Guards against a node that cannot follow a relay of the version before.
+    def test_follower_reads_the_json_of_an_older_relay(self):
+        store = self.store
+
+        class OlderRelay(Handler):
+            """Answers every question with all entries, as JSON."""
+
+            def do_GET(self):  # pylint: disable=invalid-name
+                """One question."""
+                store.answer_json(self, {"revision": store.revision, "ageMs": 0, "failureDomain": "wien-a",
+                                         "followers": 1, "lastObservation": 0,
+                                         "entries": [json.dumps(item) for item in store.items.values()]})
+
+        relay = QuietServer(OlderRelay)
+        self.addCleanup(relay.stop)
+        follower = self.start("follower", f"127.0.0.1:{free_port()}", f"127.0.0.1:{free_port()}",
+                              f"127.0.0.1:{relay.server_port}").start()
+        self.assertEqual(call(follower.caller_port, "/first/1", "r1").status, 200)
+        self.assertIn("event=registry-copied", follower.log())
+
     # Guards against a slow target that every node has to find out about by itself.
     def test_nodes_share_what_they_learn_of_targets(self):
         slow = Target(self.store, "slow", "shared", "wien-a")
--- a/Tests/PlatformAdapter/TestDocuments.cpp
+++ b/Tests/PlatformAdapter/TestDocuments.cpp
@@ -1,4 +1,6 @@
+#include "Base/Base64.h"
 #include "Base/Error.h"
+#include "Base/Json.h"
 #include "platform/Documents.h"
 
 #include <string>
@@ -145,3 +147,26 @@
     CHECK(configuration.routes[0].timeout <= 86400000_ms);
     CHECK(configuration.services[0].connectionLimit > 1000000);
 }
+
+// Guards against an entry that says something else after it was passed on in the form that compresses well.
+TEST(Documents, CompactItemSaysTheSame)
+{
+    std::vector<std::string> const values { goodTarget, R"({"service":"caf\u00e9 \"x\"\n"})", "\xff\x00", "", "[1,2" };
+    for (auto const& value : values) {
+        Json::Value item;
+        item["key"] = "servers/i-1";
+        item["revision"] = 7;
+        item["value"] = encodeBase64(value);
+        auto const source = writeJson(item);
+        auto const before = readItem(source);
+        auto const after = readItem(compactItem(source));
+        LONGS_EQUAL(before->revision, after->revision);
+        STRCMP_EQUAL(before->key.c_str(), after->key.c_str());
+        LONGS_EQUAL(before->change.index(), after->change.index());
+        if (auto const* const put = std::get_if<TargetPut>(&before->change))
+            STRCMP_EQUAL(
+                put->registration.address.c_str(), std::get<TargetPut>(after->change).registration.address.c_str());
+    }
+    std::string const removal = R"({"key":"servers/i-1","revision":8,"tombstone":true})";
+    STRCMP_EQUAL(removal.c_str(), compactItem(removal).c_str());
+}
