--- a/Libraries/Gateway/Gateway.cpp
+++ b/Libraries/Gateway/Gateway.cpp
@@ -1,6 +1,7 @@
 #include "Gateway/Gateway.h"
 
 #include <Poco/NumberFormatter.h>
+#include <algorithm>
 
 namespace Toucan {
 
@@ -81,6 +82,12 @@
             overloadRetryAfter, answered);
         return nullptr;
     }
+    auto const parts = std::max<size_t>(route->shards.size(), 1);
+    if (this->context.runningBytes + estimateMemory(request, parts) > this->options.runningBytes) {
+        this->refuse(request, HTTPResponse::HTTP_SERVICE_UNAVAILABLE, "the requests that run take too much memory; not run",
+            overloadRetryAfter, answered);
+        return nullptr;
+    }
     auto services = route->shards;
     if (!route->isScattered())
         services.push_back(this->splitter.next(*route).service);
--- a/Libraries/Gateway/Gateway.h
+++ b/Libraries/Gateway/Gateway.h
@@ -15,10 +15,13 @@
 public:
     struct Options {
         std::string failureDomain;
-        GatewayHeaders headers;
-        ExtraAttemptBudget::Limits extraAttempts;
+        GatewayHeaders headers {};
+        ExtraAttemptBudget::Limits extraAttempts {};
         /// Requests that may run at once; more are refused, because they would only wait for the processor.
         size_t runningLimit { 300 };
+        /// Estimated memory of the requests that run at once; more are refused. Each attempt has its own copy of the
+        /// request's head, so that long heads on a route of many shards add up.
+        size_t runningBytes { 20971520 };
         /// Largest answer of a target that is forwarded.
         size_t answerBytes { 4194304 };
     };
--- a/Libraries/Gateway/GatewayContext.h
+++ b/Libraries/Gateway/GatewayContext.h
@@ -48,4 +48,6 @@
     size_t running { 0 };
 };
 
+    /// Estimated memory of these requests.
+    size_t runningBytes { 0 };
 } // namespace Toucan
--- a/Libraries/Gateway/GatewayMessages.h
+++ b/Libraries/Gateway/GatewayMessages.h
@@ -51,6 +51,9 @@
     std::shared_ptr<void const> memory;
 };
 
+/// Estimated memory of a request and its attempts when it is sent to `parts` targets at once.
+size_t estimateMemory(ProxiedRequest const& request, size_t parts);
+
 /// One request to one target.
 struct AttemptMessage {
     /// IP address and port.
--- a/Libraries/Gateway/GatewayRequest.cpp
+++ b/Libraries/Gateway/GatewayRequest.cpp
@@ -32,11 +32,14 @@
 std::shared_ptr<GatewayRequest> GatewayRequest::create(GatewayContext& context, std::shared_ptr<RouteTable const> table,
     Route const& route, std::vector<std::string> services, ProxiedRequest&& request, Answered answered)
 {
+    auto const memory = estimateMemory(request, services.size());
     std::shared_ptr<GatewayRequest> created(
         new GatewayRequest(context, std::move(table), route, std::move(request), std::move(answered)));
     created->parts.resize(services.size());
+    created->estimatedMemory = memory;
     for (size_t index = 0; index < services.size(); ++index)
         created->parts[index].service = std::move(services[index]);
+    created->context.runningBytes += created->estimatedMemory;
     return created;
 }
 
@@ -450,6 +453,7 @@
     --this->context.running;
     if (auto const cancel = std::exchange(this->cancelTimer, nullptr))
         cancel();
+    this->context.runningBytes -= this->estimatedMemory;
 }
 
 void GatewayRequest::answer(ProxiedAnswer&& answer, std::string_view result)
--- a/Libraries/Gateway/GatewayRequest.h
+++ b/Libraries/Gateway/GatewayRequest.h
@@ -122,6 +122,7 @@
     bool finished { false };
     bool started { false };
     uint32_t extraAttempts { 0 };
+    size_t estimatedMemory { 0 };
 };
 
 } // namespace Toucan
--- a/Libraries/Gateway/GatewayTarget.h
+++ b/Libraries/Gateway/GatewayTarget.h
@@ -3,6 +3,7 @@
 #include "Gateway/ReportedSlowdown.h"
 #include "Gateway/TargetRegistration.h"
 
+#include <functional>
 #include <optional>
 #include <vector>
 
--- a/Libraries/GatewayNode/GatewayServer.cpp
+++ b/Libraries/GatewayNode/GatewayServer.cpp
@@ -24,6 +24,7 @@
 /// not taken. docs/design.md, section 9, adds up what the process holds at most.
 constexpr size_t answerMemoryDivisor = 16;
 constexpr size_t callerMemoryDivisor = 32;
+constexpr size_t runningMemoryDivisor = 8;
 /// Room that every connection has without asking, so that usual messages never wait for large ones.
 constexpr size_t answerAllowance = 16384;
 constexpr size_t callerAllowance = 2048;
@@ -53,6 +54,7 @@
     , gateway({ .failureDomain = this->settings.failureDomain,
                   .headers = this->hooks.headers,
                   .extraAttempts = this->settings.extraAttempts,
+                  .runningBytes = memoryShare(this->settings, runningMemoryDivisor),
                   .answerBytes = this->settings.answerBytes },
           this->createGatewayHooks())
     , answerBudget(ByteBudget::create(
--- a/Libraries/GatewayNode/RelayServer.cpp
+++ b/Libraries/GatewayNode/RelayServer.cpp
@@ -9,6 +9,9 @@
 
 using Poco::Net::HTTPResponse;
 
+constexpr size_t questionHeaderBytes = 4096;
+/// Above the observations of one query over hundreds of shards.
+constexpr size_t reportBytes = 32768;
 /// Followers of one relay at the most; each keeps one connection.
 constexpr size_t mostFollowers = 500;
 /// Observations are worth most within a fraction of a second; the second bound keeps a relay with many followers from
@@ -22,7 +25,7 @@
     : loop(loop)
     , sync(sync)
     , compact(std::move(compact))
-    , server(loop, address, { {}, mostFollowers }, this->createHooks())
+    , server(loop, address, { { .sizes = { questionHeaderBytes, reportBytes } }, mostFollowers }, this->createHooks())
 {
 }
 
--- a/Libraries/Net/HttpServerSession.h
+++ b/Libraries/Net/HttpServerSession.h
@@ -25,7 +25,7 @@
     /// its way.
     Milliseconds stopGrace { 500 };
     /// Room for requests that are read and answers that are sent; null for no common bound.
-    std::shared_ptr<ByteBudget> budget;
+    std::shared_ptr<ByteBudget> budget {};
     /// Bytes that a connection receives in one turn of the loop; see SocketChannel.
     size_t receiveBytes { SocketChannel::usualReceiveBytes };
 };
--- a/Tests/Gateway/GatewayFixture.h
+++ b/Tests/Gateway/GatewayFixture.h
@@ -31,7 +31,8 @@
     Gateway gateway;
 
     explicit GatewayFixture(ExtraAttemptBudget::Limits budget = { 1, 5, 10000_ms })
-        : gateway({ "wien-a", {}, budget, 100 }, this->hooks())
+        : gateway({ .failureDomain = "wien-a", .extraAttempts = budget, .runningLimit = 100, .runningBytes = 1000000 },
+              this->hooks())
     {
     }
 
--- a/Tests/Gateway/TestGatewayRequest.cpp
+++ b/Tests/Gateway/TestGatewayRequest.cpp
@@ -217,6 +217,24 @@
     STRCMP_EQUAL("0.100", fixture.header("Retry-After").c_str());
 }
 
+// Guards against long heads that are copied for each of many shards until the memory is full.
+TEST(ForwardedRequest, RefusedAtOnceWhenRunningRequestsTakeTooMuchMemory)
+{
+    fixture.installScattered(40, 0.5);
+    auto const longPath = "/search/" + std::string(8000, 'x');
+    size_t running = 0;
+    while (running < 50 && fixture.request(longPath))
+        ++running;
+    CHECK(running >= 2);
+    CHECK(running < 4);
+    LONGS_EQUAL(503, fixture.status());
+    CHECK(!fixture.header("Retry-After").empty());
+    auto const before = fixture.gateway.shared().runningBytes;
+    fixture.advance(2000_ms);
+    CHECK(before > 0);
+    LONGS_EQUAL(0, fixture.gateway.shared().runningBytes);
+}
+
 TEST_GROUP(ScatteredRequest) { GatewayFixture fixture; };
 
 // Guards against a merged answer with the wrong records, order, signatures or count of missing shards.
