Prefer targets with a kept connection

Ruled out: a fixed subset of replicas for each node; it would hide pauses and slowness, which the choice must see. Change: a target without a kept connection counts 6 ms more. Test: PrefersATargetWithAKeptConnection.

--- a/Libraries/Gateway/GatewayContext.h
+++ b/Libraries/Gateway/GatewayContext.h
@@ -21,6 +21,8 @@
     std::function<Milliseconds()> now;
     /// This node's part of the connections that a target accepts.
     std::function<uint32_t(uint32_t limit)> connectionShare;
+    /// Whether a request to an address needs no new connection; may be empty.
+    std::function<bool(std::string const& address)> hasIdleConnection;
     /// Closes kept connections to an address whose connections went silent.
     std::function<void(std::string const& address)> closeIdle;
     /// Tells the other nodes what this one learned of targets; may be empty.
@@ -46,8 +48,8 @@
     size_t answerBytes { 0 };
     /// Requests that have not been answered.
     size_t running { 0 };
-};
-
     /// Estimated memory of these requests.
     size_t runningBytes { 0 };
+};
+
 } // namespace Toucan
--- a/Libraries/Gateway/GatewayRequest.cpp
+++ b/Libraries/Gateway/GatewayRequest.cpp
@@ -109,7 +109,7 @@
         tried.push_back(attempt.target);
     auto const typical = this->context.latencies.typical(this->route, now);
     auto const connections = this->context.hooks.connectionShare(this->table->connectionLimit(part.service));
-    auto const target = this->context.selector.choose(targets, tried, { typical, connections }, now);
+    auto const target = this->context.selector.choose(targets, tried, { typical, connections, this->context.hooks.hasIdleConnection }, now);
     if (!target) {
         part.retryAt = TargetSelector::nextAvailable(targets, now);
         this->context.metrics.count("attempts_without_target");
--- a/Libraries/Gateway/GatewayTarget.cpp
+++ b/Libraries/Gateway/GatewayTarget.cpp
@@ -28,6 +28,9 @@
 /// Cost of a failed attempt in terms of waiting: the next one starts from nothing.
 constexpr double failurePenaltyRatio = 6;
 constexpr Milliseconds loadFresh { 250 };
+/// Targets take this long to accept a connection. Counting it keeps a node with few requests on the replicas that it is
+/// connected to, so that the connections of many nodes do not exceed the limit of each target.
+constexpr Milliseconds newConnectionTime { 6 };
 /// A slowdown is shared with the other nodes when it matters for the choice of targets and is news.
 constexpr double leastSharedSlowdown = 2;
 constexpr double sharedRatio = 1.5;
@@ -140,3 +143,5 @@
 }
 
 } // namespace Toucan
+    if (demand.hasIdleConnection && !demand.hasIdleConnection(this->entry.address))
+        expected += newConnectionTime;
--- a/Libraries/Gateway/GatewayTarget.h
+++ b/Libraries/Gateway/GatewayTarget.h
@@ -42,6 +42,8 @@
         uint32_t connections { 1 };
     };
 
+        /// Whether a request to an address needs no new connection; may be empty.
+        std::function<bool(std::string const& address)> hasIdleConnection {};
     GatewayTarget(TargetRegistration registration, bool sameFailureDomain, Milliseconds now);
 
     TargetRegistration const& registration() const { return this->entry; }
--- a/Libraries/GatewayNode/GatewayServer.cpp
+++ b/Libraries/GatewayNode/GatewayServer.cpp
@@ -98,6 +98,8 @@
         return [this, timer = this->loop.schedule(at, std::move(task))] { this->loop.cancel(timer); };
     };
     gatewayHooks.connectionShare = [this](uint32_t limit) { return this->connectionShare(limit); };
+    gatewayHooks.hasIdleConnection
+        = [this](std::string const& address) { return this->pool.hasIdleConnection(address); };
     gatewayHooks.now = [] { return Clock::now(); };
     gatewayHooks.closeIdle = [this](std::string const& address) { this->pool.closeIdle(address); };
     gatewayHooks.shareObservations
--- a/Libraries/Net/HttpClientPool.cpp
+++ b/Libraries/Net/HttpClientPool.cpp
@@ -331,6 +331,8 @@
 
     void closeAll()
     {
+    bool hasIdleConnection() const { return !this->idle.empty(); }
+
         for (auto const& connection : std::exchange(this->connections, {})) {
             this->loop.cancel(connection->idleTimer);
             this->loop.cancel(connection->connectTimer);
@@ -586,3 +588,9 @@
 }
 
 } // namespace Toucan
+bool HttpClientPool::hasIdleConnection(std::string const& endpoint) const
+{
+    auto const found = this->endpoints.find(endpoint);
+    return found != this->endpoints.end() && found->second->hasIdleConnection();
+}
+
--- a/Libraries/Net/HttpClientPool.h
+++ b/Libraries/Net/HttpClientPool.h
@@ -125,6 +125,8 @@
     size_t openConnections(std::string const& endpoint) const;
     /// New connections wait for resets of full servers until this time, although none was seen.
     void expectResets(Milliseconds until) { this->settling.expectResets(until); }
+    /// Whether an exchange would start on a kept connection.
+    bool hasIdleConnection(std::string const& endpoint) const;
 
 private:
     class Endpoint;
--- a/Tests/Gateway/TestGatewayParts.cpp
+++ b/Tests/Gateway/TestGatewayParts.cpp
@@ -266,6 +266,7 @@
     TargetSelector selector { [] { return 0.0; } };
     Milliseconds now { 1000 };
     uint32_t connections { 10 };
+    std::function<bool(std::string const&)> hasIdleConnection;
 
     static TargetRegistration registration(std::string const& id, std::string const& domain)
     {
@@ -286,7 +287,7 @@
 
     std::string chosen()
     {
-        auto const target = selector.choose(directory.targets("s"), {}, { 10_ms, connections }, now);
+        auto const target = selector.choose(directory.targets("s"), {}, { 10_ms, connections, hasIdleConnection }, now);
         return target ? target->registration().id : "none";
     }
     GatewayTarget& near() { return *directory.targets("s")[0]; }
@@ -316,6 +317,20 @@
     STRCMP_EQUAL("near", chosen().c_str());
 }
 
+// Guards against a node with few requests that connects to all replicas in turn, so that many nodes exceed the connection
+// limit of each, and against one that stays on a slow replica for the sake of a connection.
+TEST(TargetSelection, PrefersATargetWithAKeptConnection)
+{
+    directory.put(registration("beside", "wien-a"), now);
+    for (std::string const kept : { "near", "beside" }) {
+        hasIdleConnection = [&kept](std::string const& address) { return address == kept; };
+        STRCMP_EQUAL(kept.c_str(), chosen().c_str());
+    }
+    hasIdleConnection = [](std::string const& address) { return address == "near"; };
+    near().onLoad({ 1, 0, 2, 3.0 }, now);
+    STRCMP_EQUAL("beside", chosen().c_str());
+}
+
 // Guards against a slow target that keeps its share of the requests, and against one that is shunned for ever.
 TEST(TargetSelection, AvoidsASlowTargetForAWhile)
 {
