Tell full targets from dead ones, and do not send what has no time left

Found on the way: a unit test failed once, because an exchange that waited for a connection was sent in the turn in which its time ended; it is left to its timer now (WaitingExchangeIsNotSentWhenItsTimeIsOver failed before, 3 of 3). Change: a connection that is accepted and reset before a byte of the request was sent is "rejected": the target is left for 250 ms, without growth, and without a mark against it. Both ends of a connection pause reading by one function. Tests: FullTargetIsTriedAgainSoon, RequestsAreNotSentToAServerThatResetsNewConnections.

--- a/Libraries/Gateway/AttemptOutcome.cpp
+++ b/Libraries/Gateway/AttemptOutcome.cpp
@@ -35,6 +35,8 @@
         return "answered";
     case AttemptReply::Transport::NotSent:
         return "not-sent";
+    case AttemptReply::Transport::Rejected:
+        return "rejected";
     case AttemptReply::Transport::TimedOut:
         return "timed-out";
     case AttemptReply::Transport::Broken:
@@ -47,6 +49,7 @@
 {
     switch (reply.transport) {
     case AttemptReply::Transport::NotSent:
+    case AttemptReply::Transport::Rejected:
         return AttemptOutcome::NotSent;
     case AttemptReply::Transport::Broken:
     case AttemptReply::Transport::TimedOut:
--- a/Libraries/Gateway/Gateway.cpp
+++ b/Libraries/Gateway/Gateway.cpp
@@ -84,8 +84,8 @@
     }
     auto const parts = std::max<size_t>(route->shards.size(), 1);
     if (this->context.runningBytes + estimateMemory(request, parts) > this->options.runningBytes) {
-        this->refuse(request, HTTPResponse::HTTP_SERVICE_UNAVAILABLE, "the requests that run take too much memory; not run",
-            overloadRetryAfter, answered);
+        this->refuse(request, HTTPResponse::HTTP_SERVICE_UNAVAILABLE,
+            "the requests that run take too much memory; not run", overloadRetryAfter, answered);
         return nullptr;
     }
     auto services = route->shards;
--- a/Libraries/Gateway/GatewayMessages.h
+++ b/Libraries/Gateway/GatewayMessages.h
@@ -78,6 +78,8 @@
         Answered,
         /// No byte of the request was sent.
         NotSent,
+        /// No byte of the request was sent, because the target takes no more connections.
+        Rejected,
         /// The connection ended, or the response was not valid, after bytes were sent.
         Broken,
         /// No whole response came in time after bytes were sent.
--- a/Libraries/Gateway/GatewayRequest.cpp
+++ b/Libraries/Gateway/GatewayRequest.cpp
@@ -109,7 +109,8 @@
         tried.push_back(attempt.target);
     auto const typical = this->context.latencies.typical(this->route, now);
     auto const connections = this->context.hooks.connectionShare(this->table->connectionLimit(part.service));
-    auto const target = this->context.selector.choose(targets, tried, { typical, connections, this->context.hooks.hasIdleConnection }, now);
+    auto const target = this->context.selector.choose(
+        targets, tried, { typical, connections, this->context.hooks.hasIdleConnection }, now);
     if (!target) {
         part.retryAt = TargetSelector::nextAvailable(targets, now);
         this->context.metrics.count("attempts_without_target");
@@ -170,6 +171,8 @@
     auto result = Result::Failed;
     if (outcome == AttemptOutcome::Success)
         result = Result::Answered;
+    else if (reply.transport == AttemptReply::Transport::Rejected)
+        result = Result::Full;
     else if (outcome == AttemptOutcome::NotSent)
         result = Result::Unreachable;
     else if (outcome == AttemptOutcome::NotRun)
@@ -451,9 +454,9 @@
 {
     this->finished = true;
     --this->context.running;
+    this->context.runningBytes -= this->estimatedMemory;
     if (auto const cancel = std::exchange(this->cancelTimer, nullptr))
         cancel();
-    this->context.runningBytes -= this->estimatedMemory;
 }
 
 void GatewayRequest::answer(ProxiedAnswer&& answer, std::string_view result)
--- a/Libraries/Gateway/GatewayTarget.cpp
+++ b/Libraries/Gateway/GatewayTarget.cpp
@@ -36,6 +36,8 @@
 constexpr double sharedRatio = 1.5;
 constexpr Milliseconds firstBlock { 250 };
 constexpr Milliseconds longestBlock { 2000 };
+/// A full target has room again as soon as one of its connections ends, so that the block does not grow.
+constexpr Milliseconds fullBlock { 250 };
 
 GatewayTarget::GatewayTarget(TargetRegistration registration, bool sameFailureDomain, Milliseconds now)
     : entry(std::move(registration))
@@ -87,6 +89,10 @@
         this->starts.erase(found);
     if (result == Result::Abandoned)
         return;
+    if (result == Result::Full) {
+        this->blockedUntil = now + fullBlock;
+        return;
+    }
     bool const failed = result != Result::Answered;
     this->failureEstimate = this->failureShare(now) * (1 - failureWeight) + (failed ? failureWeight : 0);
     this->failureAt = now;
@@ -137,11 +143,11 @@
         if (now - this->starts.front() > limit)
             expected += stallPenalty;
     }
+    if (demand.hasIdleConnection && !demand.hasIdleConnection(this->entry.address))
+        expected += newConnectionTime;
     if (!this->sameFailureDomain)
         expected += std::clamp(typical * remotePenaltyRatio, leastRemotePenalty, mostRemotePenalty);
     return expected;
 }
 
 } // namespace Toucan
-    if (demand.hasIdleConnection && !demand.hasIdleConnection(this->entry.address))
-        expected += newConnectionTime;
--- a/Libraries/Gateway/GatewayTarget.h
+++ b/Libraries/Gateway/GatewayTarget.h
@@ -30,6 +30,8 @@
         Shed,
         /// No connection could be made.
         Unreachable,
+        /// The target takes no more connections; it serves those that it has.
+        Full,
         /// The node gave the attempt up for a reason of its own.
         Abandoned,
     };
@@ -40,10 +42,10 @@
         Milliseconds typical;
         /// Connections that this node may open to one target.
         uint32_t connections { 1 };
-    };
-
         /// Whether a request to an address needs no new connection; may be empty.
         std::function<bool(std::string const& address)> hasIdleConnection {};
+    };
+
     GatewayTarget(TargetRegistration registration, bool sameFailureDomain, Milliseconds now);
 
     TargetRegistration const& registration() const { return this->entry; }
--- a/Libraries/GatewayNode/GatewayServer.cpp
+++ b/Libraries/GatewayNode/GatewayServer.cpp
@@ -206,6 +206,8 @@
     case HttpTransport::ConnectFailed:
     case HttpTransport::NoConnection:
         return AttemptReply::Transport::NotSent;
+    case HttpTransport::Rejected:
+        return AttemptReply::Transport::Rejected;
     case HttpTransport::TimedOut:
         return AttemptReply::Transport::TimedOut;
     case HttpTransport::Broken:
--- a/Libraries/Net/HttpClientPool.cpp
+++ b/Libraries/Net/HttpClientPool.cpp
@@ -13,6 +13,8 @@
 
 /// A request must not cross the server's close of an idle connection, so the connection ends this much earlier.
 constexpr Milliseconds idleCloseMargin { 500 };
+/// An exchange with less time left cannot be answered any more.
+constexpr Milliseconds leastUsefulTime { 1 };
 /// Interim responses and responses to earlier requests that one exchange passes over. More of them are a fault of the
 /// server, and each costs the loop as much as a response that counts.
 constexpr uint32_t mostSkippedResponses = 8;
@@ -27,6 +29,8 @@
     case HttpTransport::ConnectFailed:
     case HttpTransport::NoConnection:
         return "no connection";
+    case HttpTransport::Rejected:
+        return "connection reset at once";
     case HttpTransport::Broken:
         break;
     }
@@ -212,14 +216,7 @@
                 return;
             if (!this->memory)
                 this->memory = this->limits.budget->createHolder();
-            auto const held = this->reader.body().size() + this->channel->input().size();
-            std::weak_ptr<SocketChannel> const waiting = this->channel;
-            bool const more = this->memory->resize(held, [waiting] {
-                if (auto const channel = waiting.lock())
-                    channel->setReading(true);
-            });
-            if (!more)
-                this->channel->setReading(false);
+            this->channel->holdInput(*this->memory, this->reader.body().size() + this->channel->input().size());
         }
 
         bool isInformational() { return static_cast<int>(this->reader.response().getStatus()) < 200; }
@@ -329,10 +326,10 @@
 
     size_t openConnections() const { return this->connections.size(); }
 
-    void closeAll()
-    {
     bool hasIdleConnection() const { return !this->idle.empty(); }
 
+    void closeAll()
+    {
         for (auto const& connection : std::exchange(this->connections, {})) {
             this->loop.cancel(connection->idleTimer);
             this->loop.cancel(connection->connectTimer);
@@ -420,7 +417,11 @@
                 this->waiting.push_front(pending);
         } else if (pending) {
             HttpClientResult result;
-            result.transport = pending->sent ? HttpTransport::Broken : transport;
+            bool const rejected = unused && connection->isConnected();
+            if (pending->sent)
+                result.transport = HttpTransport::Broken;
+            else
+                result.transport = rejected ? HttpTransport::Rejected : transport;
             result.fault = fault;
             this->finish(pending, std::move(result));
         }
@@ -517,8 +518,13 @@
 
     void startWaiting()
     {
-        while (!this->waiting.empty()) {
-            auto const pending = this->waiting.front();
+        while (true) {
+            // An exchange whose time is over is ended by its timer; sending it would only cost the server work.
+            auto const next = std::find_if(this->waiting.begin(), this->waiting.end(),
+                [](auto const& entry) { return entry->timer.at - Clock::now() > leastUsefulTime; });
+            if (next == this->waiting.end())
+                return;
+            auto const pending = *next;
             if (pending->repeated ? !this->startOnNew(pending)
                                   : !this->startOnIdle(pending) && !this->startOnNew(pending))
                 return;
@@ -587,10 +593,10 @@
     return found == this->endpoints.end() ? 0 : found->second->openConnections();
 }
 
-} // namespace Toucan
 bool HttpClientPool::hasIdleConnection(std::string const& endpoint) const
 {
     auto const found = this->endpoints.find(endpoint);
     return found != this->endpoints.end() && found->second->hasIdleConnection();
 }
 
+} // namespace Toucan
--- a/Libraries/Net/HttpClientPool.h
+++ b/Libraries/Net/HttpClientPool.h
@@ -23,6 +23,8 @@
     Answered,
     /// No byte of the request left this process: refused, reset or not connected in time.
     ConnectFailed,
+    /// The server accepted the connection and reset it before a byte of the request was sent: it has no room for more.
+    Rejected,
     /// The connection broke, or the response was not valid, after bytes of the request were sent.
     Broken,
     /// The time ran out after bytes of the request were sent.
@@ -123,10 +125,10 @@
     /// exchanges that wait end with NoConnection.
     void limit(std::string const& endpoint, uint32_t connections);
     size_t openConnections(std::string const& endpoint) const;
-    /// New connections wait for resets of full servers until this time, although none was seen.
-    void expectResets(Milliseconds until) { this->settling.expectResets(until); }
     /// Whether an exchange would start on a kept connection.
     bool hasIdleConnection(std::string const& endpoint) const;
+    /// New connections wait for resets of full servers until this time, although none was seen.
+    void expectResets(Milliseconds until) { this->settling.expectResets(until); }
 
 private:
     class Endpoint;
--- a/Libraries/Net/HttpServer.cpp
+++ b/Libraries/Net/HttpServer.cpp
@@ -12,7 +12,7 @@
 
 HttpServer::HttpServer(EventLoop& loop, std::string const& address, Limits limits, HttpServerSession::Hooks hooks)
     : loop(loop)
-    , limits(limits)
+    , limits(std::move(limits))
     , hooks(std::move(hooks))
     , listener(loop, address, [this](Poco::Net::StreamSocket const& socket) { this->accept(socket); })
 {
--- a/Libraries/Net/HttpServerSession.cpp
+++ b/Libraries/Net/HttpServerSession.cpp
@@ -34,7 +34,7 @@
 }
 
 HttpServerSession::Pointer HttpServerSession::start(
-    EventLoop& loop, Poco::Net::StreamSocket const& socket, HttpServerLimits limits, Hooks hooks)
+    EventLoop& loop, Poco::Net::StreamSocket const& socket, HttpServerLimits const& limits, Hooks hooks)
 {
     Pointer session(new HttpServerSession(loop, limits, std::move(hooks)));
     SocketChannel::Hooks channelHooks;
@@ -47,7 +47,7 @@
     return session;
 }
 
-HttpServerSession::HttpServerSession(EventLoop& loop, HttpServerLimits limits, Hooks hooks)
+HttpServerSession::HttpServerSession(EventLoop& loop, HttpServerLimits const& limits, Hooks hooks)
     : loop(loop)
     , limits(limits)
     , hooks(std::make_shared<Hooks>(std::move(hooks)))
@@ -126,14 +126,7 @@
         return;
     if (!this->memory)
         this->memory = this->limits.budget->createHolder();
-    auto const held = this->reader.body().size() + this->channel->input().size();
-    std::weak_ptr<SocketChannel> const waiting = this->channel;
-    bool const more = this->memory->resize(held, [waiting] {
-        if (auto const resumed = waiting.lock())
-            resumed->setReading(true);
-    });
-    if (!more)
-        this->channel->setReading(false);
+    this->channel->holdInput(*this->memory, this->reader.body().size() + this->channel->input().size());
 }
 
 void HttpServerSession::sendContinue()
--- a/Libraries/Net/HttpServerSession.h
+++ b/Libraries/Net/HttpServerSession.h
@@ -64,7 +64,8 @@
         std::function<void(HttpFault const&, Poco::Net::HTTPResponse&, std::string& body)> describeFault;
     };
 
-    static Pointer start(EventLoop& loop, Poco::Net::StreamSocket const& socket, HttpServerLimits limits, Hooks hooks);
+    static Pointer start(
+        EventLoop& loop, Poco::Net::StreamSocket const& socket, HttpServerLimits const& limits, Hooks hooks);
 
     /// Answers the running request. Sets the length and the connection header of `head`. `memory` is kept until the
     /// peer has taken the answer.
@@ -89,7 +90,7 @@
         Closed,
     };
 
-    HttpServerSession(EventLoop& loop, HttpServerLimits limits, Hooks hooks);
+    HttpServerSession(EventLoop& loop, HttpServerLimits const& limits, Hooks hooks);
 
     void onReceived();
     void readRequest();
--- a/Libraries/Net/SocketChannel.cpp
+++ b/Libraries/Net/SocketChannel.cpp
@@ -132,6 +132,16 @@
     this->updateMode();
 }
 
+void SocketChannel::holdInput(ByteBudget::Holder& memory, size_t bytes)
+{
+    bool const more = memory.resize(bytes, [waiting = this->weak_from_this()] {
+        if (auto const channel = waiting.lock())
+            channel->setReading(true);
+    });
+    if (!more)
+        this->setReading(false);
+}
+
 void SocketChannel::closeAfterOutput()
 {
     if (this->closedState || this->closing)
@@ -189,11 +199,13 @@
 
 void SocketChannel::onConnectReady()
 {
-    if (this->socket.impl()->socketError()) {
-        this->end(End::ConnectFailed);
+    auto const error = this->socket.impl()->socketError();
+    // A reset before the loop has seen the connection: the peer accepted it.
+    this->connectedState = error == 0 || error == ECONNRESET;
+    if (error) {
+        this->end(this->connectedState ? End::Broken : End::ConnectFailed);
         return;
     }
-    this->connectedState = true;
     this->socket.setNoDelay(true);
     auto const current = this->hooks;
     if (current->connected)
--- a/Libraries/Net/SocketChannel.h
+++ b/Libraries/Net/SocketChannel.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Base/ByteBudget.h"
 #include "Net/EventLoop.h"
 
 #include <Poco/Net/SocketAddress.h>
@@ -65,6 +66,9 @@
     /// Smoothed round-trip time to the peer as the kernel measured it; empty when the kernel does not tell.
     std::optional<Milliseconds> roundTripTime() const;
     void setReading(bool enabled);
+    /// Notes in `memory` that the owner holds `bytes` of what it received, and stops reading until there is room for
+    /// more.
+    void holdInput(ByteBudget::Holder& memory, size_t bytes);
     /// Sends what is left, then waits for the peer to close for a bounded time. Without it, unread input would make the
     /// kernel reset the connection and the peer could lose the last answer.
     void closeAfterOutput();
--- a/Libraries/Node/TargetClient.cpp
+++ b/Libraries/Node/TargetClient.cpp
@@ -51,6 +51,7 @@
     case HttpTransport::Answered:
         return TargetAnswer::Transport::Answered;
     case HttpTransport::ConnectFailed:
+    case HttpTransport::Rejected:
     case HttpTransport::NoConnection:
         return TargetAnswer::Transport::ConnectFailed;
     case HttpTransport::TimedOut:
--- a/Tests/Gateway/GatewayFixture.h
+++ b/Tests/Gateway/GatewayFixture.h
@@ -32,7 +32,7 @@
 
     explicit GatewayFixture(ExtraAttemptBudget::Limits budget = { 1, 5, 10000_ms })
         : gateway({ .failureDomain = "wien-a", .extraAttempts = budget, .runningLimit = 100, .runningBytes = 1000000 },
-              this->hooks())
+            this->hooks())
     {
     }
 
--- a/Tests/Gateway/TestGatewayParts.cpp
+++ b/Tests/Gateway/TestGatewayParts.cpp
@@ -317,8 +317,8 @@
     STRCMP_EQUAL("near", chosen().c_str());
 }
 
-// Guards against a node with few requests that connects to all replicas in turn, so that many nodes exceed the connection
-// limit of each, and against one that stays on a slow replica for the sake of a connection.
+// Guards against a node with few requests that connects to all replicas in turn, so that many nodes exceed the
+// connection limit of each, and against one that stays on a slow replica for the sake of a connection.
 TEST(TargetSelection, PrefersATargetWithAKeptConnection)
 {
     directory.put(registration("beside", "wien-a"), now);
@@ -344,6 +344,20 @@
     STRCMP_EQUAL("near", chosen().c_str());
 }
 
+// Guards against shards without a usable target after a restart of all nodes: targets are full of the connections of
+// the processes that ended, and have room again one by one.
+TEST(TargetSelection, FullTargetIsTriedAgainSoon)
+{
+    for (int count = 0; count < 6; ++count) {
+        near().onSent(now);
+        near().onEnded(GatewayTarget::Result::Full, now, 10_ms, now);
+        STRCMP_EQUAL("far", chosen().c_str());
+        now += 260_ms;
+        STRCMP_EQUAL("near", chosen().c_str());
+    }
+    DOUBLES_EQUAL(0, near().failureShare(now), 1e-9);
+}
+
 // Guards against a target that fails part of its requests quickly and so looks fast.
 TEST(TargetSelection, AvoidsAFailingTarget)
 {
--- a/Tests/Gateway/TestRelayCodec.cpp
+++ b/Tests/Gateway/TestRelayCodec.cpp
@@ -68,6 +68,7 @@
     RelayedNews news;
     news.failureDomain = "wien-a";
     std::vector<std::string> sources;
+    sources.reserve(50);
     for (int entry = 0; entry < 50; ++entry)
         sources.push_back("entry " + std::to_string(entry * 7919));
     auto const body = writeCompactNews(news, compressEntries(events(sources), unchanged));
@@ -93,7 +94,10 @@
 {
     RelayedNews news;
     news.failureDomain = "wien-a";
-    auto const bomb = compressEntries(events({ std::string(20000000, 'x') }), unchanged);
+    std::string longEntry;
+    while (longEntry.size() < 20000000)
+        longEntry.append(1000000, 'x');
+    auto const bomb = compressEntries(events({ longEntry }), unchanged);
     CHECK(bomb.size() < 100000);
     CHECK_THROWS(Error, readCompactNews(writeCompactNews(news, bomb), this->decoder()));
 }
--- a/Tests/Net/TestHttpClientPool.cpp
+++ b/Tests/Net/TestHttpClientPool.cpp
@@ -224,6 +224,24 @@
     }) == 2);
 }
 
+// Guards against a request that is sent with no time left, because a connection became free as its time ended.
+TEST(HttpClientPool, WaitingExchangeIsNotSentWhenItsTimeIsOver)
+{
+    // The ends of the exchanges fall into different turns of the loop.
+    auto const end = Clock::now() + 200_ms;
+    for (int count = 0; count < 3; ++count) {
+        HttpExchange exchange;
+        exchange.head = Poco::Net::HTTPRequest("GET", "/");
+        exchange.timeout = end + Milliseconds { 0.3 } * count - Clock::now();
+        exchange.done = [this](HttpClientResult&& result) { this->results.push_back(std::move(result)); };
+        this->pool->send(this->listener.address(), 1, std::move(exchange));
+    }
+    this->waitForResults(3);
+    this->checkResult(0, HttpTransport::TimedOut);
+    this->checkResult(1, HttpTransport::ConnectFailed);
+    this->checkResult(2, HttpTransport::ConnectFailed);
+}
+
 // Guards against idle connections that a target counts against the fleet.
 TEST(HttpClientPool, ClosesIdleConnections)
 {
@@ -529,7 +547,7 @@
     STRCMP_EQUAL("", second.received.c_str());
     reset(second);
     this->waitForResults(2);
-    this->checkResult(1, HttpTransport::ConnectFailed);
+    this->checkResult(1, HttpTransport::Rejected);
 
     this->send("third");
     auto third = this->accept();
--- a/Tests/PlatformAdapter/TestDocuments.cpp
+++ b/Tests/PlatformAdapter/TestDocuments.cpp
@@ -127,10 +127,11 @@
     std::string const withoutShards
         = R"({"version":1,"routes":[{"name":"r","host":"h","prefix":"/","route_kind":"idempotent",)"
           R"("timeout_ms":1,"attempts":1,"gather":[]}],"services":[]})";
+    std::string const negativeWeight
+        = R"({"version":1,"routes":[{"name":"r","host":"h","prefix":"/","route_kind":"x","timeout_ms":1,"attempts":1,)"
+          R"("traffic_split":[{"service":"s","weight":-1}]}],"services":[]})";
     std::vector<std::string> const documents { "{}", R"({"version":1,"routes":[{}],"services":[]})",
-        R"({"version":"1"})", "\x01", withoutShards,
-        R"({"version":1,"routes":[{"name":"r","host":"h","prefix":"/","route_kind":"x","timeout_ms":1,"attempts":1,)"
-        R"("traffic_split":[{"service":"s","weight":-1}]}],"services":[]})" };
+        R"({"version":"1"})", "\x01", withoutShards, negativeWeight };
     for (auto const& text : documents) {
         auto const change = readEntry("op/config", text);
         CHECK(std::get_if<UnusableEntry>(&*change));
@@ -151,7 +152,7 @@
 // Guards against an entry that says something else after it was passed on in the form that compresses well.
 TEST(Documents, CompactItemSaysTheSame)
 {
-    std::vector<std::string> const values { goodTarget, R"({"service":"caf\u00e9 \"x\"\n"})", "\xff\x00", "", "[1,2" };
+    std::vector<std::string> const values { goodTarget, R"({"service":"caf\u00e9 \"x\"\n"})", "\xff\x01", "", "[1,2" };
     for (auto const& value : values) {
         Json::Value item;
         item["key"] = "servers/i-1";
