Pack observations of targets into six bytes for followers

Cause: an observation took about 25 bytes of JSON for each follower. Change: compact news name targets by a 32-bit hash of their id, with the slowdown as a logarithm and the age in a byte. Ruled out: numbers by position in the registry; two nodes at different revisions would mean different targets. Tests: PackedObservationsKeepTheirRange, ObservationsNameTargetsByTheirCodes.

--- a/Libraries/Gateway/RegistrySync.cpp
+++ b/Libraries/Gateway/RegistrySync.cpp
@@ -205,7 +205,9 @@
     this->context.log.line("observations-taken", { { "targets", toString(observations) } });
     auto const now = this->now();
     for (auto const& observation : observations) {
-        auto const target = this->context.directory.find(observation.target);
+        auto const& directory = this->context.directory;
+        auto const target
+            = observation.target.empty() ? directory.findByCode(observation.code) : directory.find(observation.target);
         if (!target)
             continue;
         target->onSlowdown(observation.slowdown, now - observation.age);
--- a/Libraries/Gateway/TargetDirectory.cpp
+++ b/Libraries/Gateway/TargetDirectory.cpp
@@ -1,5 +1,6 @@
 #include "Gateway/TargetDirectory.h"
 
+#include "Gateway/TargetObservation.h"
 #include <algorithm>
 #include <set>
 
@@ -37,6 +38,7 @@
     auto const target = std::make_shared<GatewayTarget>(std::move(registration), sameDomain, now);
     this->targetsById[target->registration().id] = target;
     this->targetsByService[target->registration().service].push_back(target);
+    this->targetsByCode.emplace(codeOf(target->registration().id), target);
     this->hooks.changed("target-added", target->registration());
 }
 
@@ -49,6 +51,7 @@
     auto const target = found->second;
     this->targetsById.erase(found);
     std::erase(this->targetsByService[target->registration().service], target);
+    std::erase_if(this->targetsByCode, [&target](auto const& entry) { return entry.second == target; });
     this->hooks.changed("target-removed", target->registration());
 }
 
@@ -92,6 +95,13 @@
     return next;
 }
 
+TargetDirectory::TargetPointer TargetDirectory::findByCode(uint32_t code) const
+{
+    auto const [first, last] = this->targetsByCode.equal_range(code);
+    bool const single = first != last && std::next(first) == last;
+    return single ? first->second : nullptr;
+}
+
 TargetDirectory::TargetPointer TargetDirectory::find(std::string const& id) const
 {
     auto const found = this->targetsById.find(id);
--- a/Libraries/Gateway/TargetDirectory.h
+++ b/Libraries/Gateway/TargetDirectory.h
@@ -41,6 +41,8 @@
     std::span<TargetPointer const> targets(std::string const& service) const;
     /// Null when the registry does not name it.
     TargetPointer find(std::string const& id) const;
+    /// Finds by codeOf() its id. Null when the registry names none or when several have the code.
+    TargetPointer findByCode(uint32_t code) const;
     size_t size() const { return this->targetsById.size(); }
 
 private:
@@ -50,6 +52,7 @@
     Hooks hooks;
     std::map<std::string, TargetPointer> targetsById;
     std::unordered_map<std::string, std::vector<TargetPointer>> targetsByService;
+    std::unordered_multimap<uint32_t, TargetPointer> targetsByCode;
     /// Entries that are removed at the given time unless they are registered again.
     std::map<std::string, Milliseconds> deferred;
 };
--- a/Libraries/Gateway/TargetObservation.cpp
+++ b/Libraries/Gateway/TargetObservation.cpp
@@ -1,14 +1,19 @@
 #include "Gateway/TargetObservation.h"
 
+#include "Base/Hash.h"
 #include <Poco/NumberFormatter.h>
 
 namespace Toucan {
 
+uint32_t codeOf(std::string_view target) { return static_cast<uint32_t>(hash64(target)); }
+
 std::string toString(std::span<TargetObservation const> observations)
 {
     std::string text;
     for (auto const& observation : observations) {
-        text += (text.empty() ? "" : ",") + observation.target + ":";
+        auto const name
+            = observation.target.empty() ? Poco::NumberFormatter::formatHex(observation.code) : observation.target;
+        text += (text.empty() ? "" : ",") + name + ":";
         text += Poco::NumberFormatter::format(observation.slowdown, 2);
     }
     return text;
--- a/Libraries/GatewayNode/GatewayServer.cpp
+++ b/Libraries/GatewayNode/GatewayServer.cpp
@@ -125,7 +125,7 @@
 void GatewayServer::shareObservations(std::span<TargetObservation const> observations)
 {
     this->gateway.shared().log.line("observations-shared", { { "targets", toString(observations) } });
-    if (this->isRelay() && this->relayServer)
+    if (this->isRelay() && this->relayServer) {
         this->relayServer->publish(observations);
     auto const body = writeObservations(observations);
     for (auto const& relay : this->settings.relays) {
--- a/Libraries/GatewayNode/GatewayServer.h
+++ b/Libraries/GatewayNode/GatewayServer.h
@@ -2,6 +2,7 @@
 
 #include "Base/ByteBudget.h"
 #include "Gateway/Gateway.h"
+#include "Gateway/ObservationOutbox.h"
 #include "Gateway/RegistrySync.h"
 #include "GatewayNode/GatewaySettings.h"
 #include "GatewayNode/RelayClient.h"
--- a/Libraries/GatewayNode/RelayClient.cpp
+++ b/Libraries/GatewayNode/RelayClient.cpp
@@ -43,7 +43,7 @@
     std::string const& relay, std::string const& body, std::function<void(std::string const&)> lost)
 {
     HttpExchange exchange;
-    exchange.head = Poco::Net::HTTPRequest("POST", RelayServer::observationsPath, Poco::Net::HTTPMessage::HTTP_1_1);
+    exchange.head = Poco::Net::HTTPRequest("POST", uri.getPathAndQuery(), Poco::Net::HTTPMessage::HTTP_1_1);
     exchange.head.setContentType("application/json");
     exchange.body = std::make_shared<std::string const>(body);
     exchange.whenBusy = HttpExchange::WhenBusy::Drop;
--- a/Libraries/GatewayNode/RelayCodec.cpp
+++ b/Libraries/GatewayNode/RelayCodec.cpp
@@ -1,5 +1,6 @@
 #include "GatewayNode/RelayCodec.h"
 
+#include "Base/Base64.h"
 #include "Base/Error.h"
 #include "Base/Json.h"
 
@@ -9,6 +10,7 @@
 #include <Poco/MemoryStream.h>
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <sstream>
 
 namespace Toucan {
@@ -67,6 +69,46 @@
     return readList(document["observations"]);
 }
 
+/// Steps of the packed slowdown for each doubling; a byte reaches from 1/16 to 2,000.
+constexpr double stepsPerDoubling = 17;
+constexpr int slowdownOffset = 68;
+constexpr double packedAgeUnit = 10;
+constexpr size_t packedBytes = 6;
+
+static char toByte(double value) { return static_cast<char>(static_cast<uint8_t>(std::clamp(value, 0.0, 255.0))); }
+
+std::string packObservations(std::span<TargetObservation const> observations)
+{
+    std::string bytes;
+    bytes.reserve(observations.size() * packedBytes);
+    for (auto const& observation : observations) {
+        auto const code = observation.target.empty() ? observation.code : codeOf(observation.target);
+        for (unsigned shift = 0; shift < 32; shift += 8)
+            bytes += static_cast<char>(static_cast<uint8_t>(code >> shift));
+        bytes += toByte(std::round(std::log2(observation.slowdown) * stepsPerDoubling) + slowdownOffset);
+        bytes += toByte(std::round(observation.age.value / packedAgeUnit));
+    }
+    return bytes;
+}
+
+std::vector<TargetObservation> unpackObservations(std::string_view bytes)
+{
+    if (bytes.size() % packedBytes != 0)
+        throw Error(
+            ErrorKind::InvalidInput, "Packed observations have a wrong length", "Run the same version on all nodes");
+    std::vector<TargetObservation> observations;
+    for (; !bytes.empty(); bytes.remove_prefix(packedBytes)) {
+        auto const at = [&bytes](size_t index) { return static_cast<uint8_t>(bytes[index]); };
+        TargetObservation observation;
+        for (unsigned index = 0; index < 4; ++index)
+            observation.code |= static_cast<uint32_t>(at(index)) << (8 * index);
+        observation.slowdown = std::exp2((at(4) - slowdownOffset) / stepsPerDoubling);
+        observation.age = { at(5) * packedAgeUnit };
+        observations.push_back(std::move(observation));
+    }
+    return observations;
+}
+
 static Json::Value writeNewsFields(RelayedNews const& news)
 {
     Json::Value body(Json::objectValue);
@@ -76,8 +118,6 @@
         body["outageEndedMs"] = wholeMilliseconds(*news.outageEnded);
     body["failureDomain"] = news.failureDomain;
     body["followers"] = news.followers;
-    if (!news.observations.empty())
-        body["observations"] = writeList(news.observations);
     body["lastObservation"] = Json::UInt64 { news.lastObservation };
     return body;
 }
@@ -85,6 +125,8 @@
 std::string writeRelayedNews(RelayedNews const& news)
 {
     auto body = writeNewsFields(news);
+    if (!news.observations.empty())
+        body["observations"] = writeList(news.observations);
     for (auto const& event : news.events)
         body["entries"].append(event.source);
     return writeJson(body);
@@ -106,7 +148,10 @@
 
 std::string writeCompactNews(RelayedNews const& news, std::string_view compressedEntries)
 {
-    auto body = writeJson(writeNewsFields(news));
+    auto fields = writeNewsFields(news);
+    if (!news.observations.empty())
+        fields["packed"] = encodeBase64(packObservations(news.observations));
+    auto body = writeJson(fields);
     body += '\n';
     body += compressedEntries;
     return body;
@@ -153,7 +198,10 @@
     auto const end = body.find('\n');
     if (end == std::string_view::npos)
         throw Error(ErrorKind::InvalidInput, "A relay's answer has no entries", "Run the same version on all nodes");
-    auto news = readNewsFields(parseJson(body.substr(0, end)));
+    auto const fields = parseJson(body.substr(0, end));
+    auto news = readNewsFields(fields);
+    if (fields["packed"].isString())
+        news.observations = unpackObservations(decodeBase64(fields["packed"].asString()));
     auto const compressed = body.substr(end + 1);
     if (compressed.empty())
         return news;
--- a/Libraries/GatewayNode/RelayCodec.h
+++ b/Libraries/GatewayNode/RelayCodec.h
@@ -22,7 +22,14 @@
 /// The entries of many answers, one a line, compressed once (RFC 1950).
 std::string compressEntries(std::span<RegistryEvent const> events, RegistryCompactor const& compact);
 
-/// Compact body: the JSON of writeRelayedNews() without its entries, a line break, and the compressed entries.
+/// Observations in six bytes each: the target's code (four bytes, least significant first), the slowdown as a
+/// logarithm, and the age in units of 10 ms.
+std::string packObservations(std::span<TargetObservation const> observations);
+/// Throws Error of kind InvalidInput when the length does not fit.
+std::vector<TargetObservation> unpackObservations(std::string_view bytes);
+
+/// Compact body: the JSON of writeRelayedNews() without its entries and with "packed" (base64 of packObservations())
+/// for its observations, a line break, and the compressed entries.
 std::string writeCompactNews(RelayedNews const& news, std::string_view compressedEntries);
 
 /// Throws Error of kind InvalidInput when the body cannot be read, or holds more than 8 MiB of entries.
--- a/Tests/Gateway/TestRegistrySync.cpp
+++ b/Tests/Gateway/TestRegistrySync.cpp
@@ -221,6 +221,20 @@
     LONGS_EQUAL(0, questions.at(2).observation);
 }
 
+// Guards against an observation that is taken for another target, or for one of two targets with the same code.
+TEST(RegistrySync, ObservationsNameTargetsByTheirCodes)
+{
+    follower.start();
+    lists[0](reply(5, { target("t1"), target("t2") }));
+    auto told = news(5, {});
+    told.observations = { { "", 7, 10_ms, codeOf("t2") }, { "", 9, 10_ms, codeOf("unknown") } };
+    follows[0].second(std::move(told));
+    auto const& directory = fixture.gateway.shared().directory;
+    DOUBLES_EQUAL(1, directory.find("t1")->slowness(fixture.time), 0.01);
+    CHECK(directory.find("t2")->slowness(fixture.time) > 2);
+    POINTERS_EQUAL(nullptr, directory.findByCode(codeOf("unknown")).get());
+}
+
 // Guards against a follower that waits at a relay until its news are too old, and against one that leaves a relay whose
 // news are in time.
 TEST(RegistrySync, QuestionEndsBeforeTheNewsAreTooOld)
--- a/Tests/Gateway/TestRelayCodec.cpp
+++ b/Tests/Gateway/TestRelayCodec.cpp
@@ -45,6 +45,9 @@
     LONGS_EQUAL(7, read.revision);
     DOUBLES_EQUAL(12, read.age.value, 0);
     LONGS_EQUAL(1, read.observations.size());
+    LONGS_EQUAL(codeOf("t1"), read.observations[0].code);
+    DOUBLES_EQUAL(2.5, read.observations[0].slowdown, 2.5 * 0.03);
+    DOUBLES_EQUAL(10, read.observations[0].age.value, 0);
     LONGS_EQUAL(3, this->decoded.size());
     STRCMP_EQUAL("{\"second\":1}", this->decoded[1].c_str());
     this->decoded.clear();
@@ -52,6 +55,22 @@
     LONGS_EQUAL(0, this->decoded.size());
 }
 
+// Guards against numbers out of the range of a byte that turn into others, and against a body of another layout.
+TEST(RelayCodec, PackedObservationsKeepTheirRange)
+{
+    std::vector<TargetObservation> const observations { { "t1", 1e9, 100000000_ms }, { "t2", 0.001, 0_ms },
+        { "", 1, 5_ms, 7 } };
+    auto const packed = packObservations(observations);
+    LONGS_EQUAL(18, packed.size());
+    auto const read = unpackObservations(packed);
+    CHECK(read.at(0).slowdown > 1000);
+    DOUBLES_EQUAL(2550, read.at(0).age.value, 0);
+    CHECK(read.at(1).slowdown < 0.1);
+    LONGS_EQUAL(7, read.at(2).code);
+    DOUBLES_EQUAL(1, read.at(2).slowdown, 1e-9);
+    CHECK_THROWS(Error, unpackObservations("12345"));
+}
+
 // Guards against the cost of a configuration that is sent to every follower: repeated text must shrink.
 TEST(RelayCodec, RepeatedTextIsCompressed)
 {
