Report observations to one relay, which tells the others

Cause: every node reported what it learned of targets to every relay, so that reports grew with nodes times relays. Change: a node reports to the relay that it follows; relays collect reports for 50 ms and tell each other, marked so that they are not passed on again. Test: test_relays_pass_reports_on_to_each_other_once.

--- a/Libraries/Gateway/ObservationOutbox.cpp
+++ b/Libraries/Gateway/ObservationOutbox.cpp
@@ -12,14 +12,14 @@
 {
 }
 
-void ObservationOutbox::add(std::string const& target, double slowdown)
+void ObservationOutbox::add(std::string const& target, double slowdown, Milliseconds age)
 {
     if (!this->hooks.send)
         return;
     auto const now = this->hooks.now();
     if (this->pending.empty())
         this->hooks.schedule(now + collectTime, [this] { this->flush(); });
-    this->pending[target] = { slowdown, now };
+    this->pending[target] = { slowdown, now - age };
 }
 
 void ObservationOutbox::flush()
--- a/Libraries/Gateway/ObservationOutbox.h
+++ b/Libraries/Gateway/ObservationOutbox.h
@@ -21,7 +21,7 @@
     explicit ObservationOutbox(Hooks hooks);
 
     /// The last observation of a target counts.
-    void add(std::string const& target, double slowdown);
+    void add(std::string const& target, double slowdown, Milliseconds age = {});
 
 private:
     struct Pending {
--- a/Libraries/Gateway/RegistrySync.cpp
+++ b/Libraries/Gateway/RegistrySync.cpp
@@ -114,6 +114,7 @@
     // The first question asks whether the first read was recent, so that it is answered at once.
     auto const wait
         = this->confirmed ? std::clamp(oldestNews - relay.newsAge, shortestQuestion, longestQuestion) : Milliseconds {};
+    this->lastAsked = relay.address;
     this->hooks.follow(relay.address, { this->revision, relay.lastObservation, wait },
         [this, &relay](RelayedNews&& news) { this->onFollowed(relay, std::move(news)); });
 }
--- a/Libraries/Gateway/RegistrySync.h
+++ b/Libraries/Gateway/RegistrySync.h
@@ -50,6 +50,8 @@
     /// it has.
     bool isReady() const;
     RegistryRelay& relay() { return this->relayed; }
+    /// Address of the relay that was asked last; empty when none was.
+    std::string const& followedRelay() const { return this->lastAsked; }
     /// Nodes of the deployment as far as the relays show: every relay is taken to have as many followers as the one
     /// with most. 0 without relays.
     uint32_t estimatedNodes() const;
@@ -102,6 +104,7 @@
     bool hasFollowers;
     uint32_t followers { 0 };
     size_t relayCount;
+    std::string lastAsked;
     Hooks hooks;
     RegistryRelay relayed;
     uint64_t revision { 0 };
--- a/Libraries/GatewayNode/GatewayServer.cpp
+++ b/Libraries/GatewayNode/GatewayServer.cpp
@@ -69,10 +69,13 @@
     , relayClient(this->loop, this->hooks.decodeEntry)
     , registry(this->gateway, { this->settings.relays, this->isRelay() ? this->settings.relayListen : "" },
           this->createRegistryHooks())
+    , relayOutbox({ [] { return Clock::now(); },
+          [this](Milliseconds at, std::function<void()> task) { this->loop.schedule(at, std::move(task)); },
+          [this](std::vector<TargetObservation>&& observations) { this->tellOtherRelays(observations); } })
 {
     if (!this->settings.relayListen.empty())
         this->relayServer = std::make_unique<RelayServer>(
-            this->loop, this->settings.relayListen, this->registry, this->hooks.compactEntry);
+            this->loop, this->settings.relayListen, this->registry, this->createRelayHooks());
     if (!this->settings.metricsListen.empty())
         this->metrics = std::make_unique<HttpServer>(this->loop, this->settings.metricsListen,
             HttpServer::Limits { {}, adminConnections },
@@ -109,6 +112,19 @@
     return gatewayHooks;
 }
 
+RelayServer::Hooks GatewayServer::createRelayHooks()
+{
+    RelayServer::Hooks relayHooks;
+    relayHooks.compact = this->hooks.compactEntry;
+    relayHooks.reported = [this](std::span<TargetObservation const> observations) {
+        if (!this->isRelay())
+            return;
+        for (auto const& observation : observations)
+            this->relayOutbox.add(observation.target, observation.slowdown, observation.age);
+    };
+    return relayHooks;
+}
+
 RegistrySync::Hooks GatewayServer::createRegistryHooks()
 {
     auto registryHooks = this->hooks.connectRegistry(this->loop, this->settings);
@@ -127,16 +143,29 @@
     this->gateway.shared().log.line("observations-shared", { { "targets", toString(observations) } });
     if (this->isRelay() && this->relayServer) {
         this->relayServer->publish(observations);
+        this->tellOtherRelays(observations);
+    } else if (auto const& relay = this->registry.followedRelay(); !relay.empty()) {
+        this->report(relay, RelayClient::Reporter::Node, writeObservations(observations));
+    }
+}
+
+void GatewayServer::tellOtherRelays(std::span<TargetObservation const> observations)
+{
     auto const body = writeObservations(observations);
     for (auto const& relay : this->settings.relays) {
         if (relay != this->settings.relayListen)
-            this->relayClient.report(relay, body, [this, relay](std::string const& why) {
-                this->gateway.shared().metrics.count("observation_reports_lost");
-                this->gateway.shared().log.line("observations-lost", { { "relay", relay }, { "why", why } });
-            });
+            this->report(relay, RelayClient::Reporter::Relay, body);
     }
 }
 
+void GatewayServer::report(std::string const& relay, RelayClient::Reporter reporter, std::string const& body)
+{
+    this->relayClient.report(relay, reporter, body, [this, relay](std::string const& why) {
+        this->gateway.shared().metrics.count("observation_reports_lost");
+        this->gateway.shared().log.line("observations-lost", { { "relay", relay }, { "why", why } });
+    });
+}
+
 bool GatewayServer::isRelay() const
 {
     auto const& relays = this->settings.relays;
--- a/Libraries/GatewayNode/GatewayServer.h
+++ b/Libraries/GatewayNode/GatewayServer.h
@@ -52,7 +52,12 @@
 private:
     GatewayHooks createGatewayHooks();
     RegistrySync::Hooks createRegistryHooks();
+    RelayServer::Hooks createRelayHooks();
+    /// Tells the followed relay, which tells the others; with hundreds of nodes, a report of each to every relay would
+    /// be most of what a relay receives.
     void shareObservations(std::span<TargetObservation const> observations);
+    void tellOtherRelays(std::span<TargetObservation const> observations);
+    void report(std::string const& relay, RelayClient::Reporter reporter, std::string const& body);
     bool isRelay() const;
     HttpServerSession::Hooks createCallerHooks();
     HttpServer::Limits callerLimits() const;
@@ -88,6 +93,8 @@
     RelayClient relayClient;
     RegistrySync registry;
     std::unique_ptr<RelayServer> relayServer;
+    /// What followers reported, for the other relays.
+    ObservationOutbox relayOutbox;
     std::unordered_map<HttpServerSession*, std::shared_ptr<GatewayRequest>> requestsBySession;
     std::atomic<bool> stopRequested { false };
     std::atomic<bool> reloadRequested { false };
--- a/Libraries/GatewayNode/RelayClient.cpp
+++ b/Libraries/GatewayNode/RelayClient.cpp
@@ -40,8 +40,11 @@
 }
 
 void RelayClient::report(
-    std::string const& relay, std::string const& body, std::function<void(std::string const&)> lost)
+    std::string const& relay, Reporter reporter, std::string const& body, std::function<void(std::string const&)> lost)
 {
+    Poco::URI uri(RelayServer::observationsPath);
+    if (reporter == Reporter::Relay)
+        uri.addQueryParameter(RelayServer::relayedParameter, "1");
     HttpExchange exchange;
     exchange.head = Poco::Net::HTTPRequest("POST", uri.getPathAndQuery(), Poco::Net::HTTPMessage::HTTP_1_1);
     exchange.head.setContentType("application/json");
--- a/Libraries/GatewayNode/RelayClient.h
+++ b/Libraries/GatewayNode/RelayClient.h
@@ -17,7 +17,13 @@
     void copy(std::string const& relay, std::function<void(RelayedNews&&)> done);
     /// Tells a relay what this node learned of targets. `lost` is called with the reason when the relay did not take
     /// it; nothing is sent again, because the next answers of the targets show the same.
-    void report(std::string const& relay, std::string const& body, std::function<void(std::string const&)> lost);
+    /// `reporter` keeps relays from passing on what another relay passed on.
+    enum class Reporter {
+        Node,
+        Relay,
+    };
+    void report(std::string const& relay, Reporter reporter, std::string const& body,
+        std::function<void(std::string const&)> lost);
 
 private:
     void call(std::string const& relay, std::string const& target, std::function<void(RelayedNews&&)> done);
--- a/Libraries/GatewayNode/RelayServer.cpp
+++ b/Libraries/GatewayNode/RelayServer.cpp
@@ -21,22 +21,23 @@
 /// Followers differ by a few revisions at most while changes come in quick succession.
 constexpr size_t mostCompressedEntries = 8;
 
-RelayServer::RelayServer(EventLoop& loop, std::string const& address, RegistrySync& sync, RegistryCompactor compact)
+RelayServer::RelayServer(EventLoop& loop, std::string const& address, RegistrySync& sync, Hooks hooks)
     : loop(loop)
     , sync(sync)
-    , compact(std::move(compact))
-    , server(loop, address, { { .sizes = { questionHeaderBytes, reportBytes } }, mostFollowers }, this->createHooks())
+    , hooks(std::move(hooks))
+    , server(loop, address, { { .sizes = { questionHeaderBytes, reportBytes } }, mostFollowers },
+          this->createSessionHooks())
 {
 }
 
-HttpServerSession::Hooks RelayServer::createHooks()
+HttpServerSession::Hooks RelayServer::createSessionHooks()
 {
-    HttpServerSession::Hooks hooks;
-    hooks.request = [this](HttpServerSession::Pointer const& session, HttpServerRequest&& request) {
+    HttpServerSession::Hooks sessionHooks;
+    sessionHooks.request = [this](HttpServerSession::Pointer const& session, HttpServerRequest&& request) {
         this->onRequest(session, request);
     };
-    hooks.gone = [this](HttpServerSession::Pointer const& session) { this->onGone(session); };
-    return hooks;
+    sessionHooks.gone = [this](HttpServerSession::Pointer const& session) { this->onGone(session); };
+    return sessionHooks;
 }
 
 static std::optional<uint64_t> readNumber(Poco::URI const& uri, std::string_view wanted)
@@ -63,7 +64,8 @@
                     Milliseconds { static_cast<double>(readNumber(uri, "wait").value_or(0)) } },
                 form);
         else if (uri.getPath() == observationsPath)
-            this->takeReport(session, request);
+            this->takeReport(session, request,
+                readNumber(uri, relayedParameter).value_or(0) ? ReportOrigin::Relay : ReportOrigin::Follower);
         else
             session->refuse({ HTTPResponse::HTTP_NOT_FOUND, "No such resource", "Run the same version on all nodes" });
     } catch (Error const& error) {
@@ -100,11 +102,14 @@
         this->flushSoon();
 }
 
-void RelayServer::takeReport(HttpServerSession::Pointer const& session, HttpServerRequest const& request)
+void RelayServer::takeReport(
+    HttpServerSession::Pointer const& session, HttpServerRequest const& request, ReportOrigin origin)
 {
     auto const observations = readObservations(request.body);
     this->sync.takeObservations(observations);
     this->publish(observations);
+    if (origin == ReportOrigin::Follower)
+        this->hooks.reported(observations);
     HTTPResponse head(HTTPResponse::HTTP_OK);
     session->respond(head, "");
 }
@@ -155,7 +160,7 @@
     }
     if (this->compressedEntries.size() >= mostCompressedEntries)
         this->compressedEntries.pop_front();
-    this->compressedEntries.push_back({ after, news.revision, compressEntries(news.events, this->compact) });
+    this->compressedEntries.push_back({ after, news.revision, compressEntries(news.events, this->hooks.compact) });
     return this->compressedEntries.back().bytes;
 }
 
--- a/Libraries/GatewayNode/RelayServer.h
+++ b/Libraries/GatewayNode/RelayServer.h
@@ -20,12 +20,21 @@
     static constexpr auto entriesPath = "/v1/registry/entries";
     static constexpr auto observationsPath = "/v1/targets/observations";
     static constexpr Milliseconds longestWait { 800 };
+    /// Query parameter of a report that another relay passes on.
+    static constexpr auto relayedParameter = "relayed";
+
+    struct Hooks {
+        /// Rewrites entries for compact answers.
+        RegistryCompactor compact;
+        /// Observations that a follower reported, for the other relays.
+        std::function<void(std::span<TargetObservation const>)> reported;
+    };
 
     /// Query parameter of a question that asks for a compact answer.
     static constexpr auto compactParameter = "compact";
 
     /// Throws as TcpListener does. `sync` must outlive the server.
-    RelayServer(EventLoop& loop, std::string const& address, RegistrySync& sync, RegistryCompactor compact);
+    RelayServer(EventLoop& loop, std::string const& address, RegistrySync& sync, Hooks hooks);
 
     /// Passes observations on to the followers, after a moment in which more may come.
     void publish(std::span<TargetObservation const> observations);
@@ -50,11 +59,15 @@
         std::string bytes;
     };
 
-    HttpServerSession::Hooks createHooks();
+    HttpServerSession::Hooks createSessionHooks();
     void onRequest(HttpServerSession::Pointer const& session, HttpServerRequest const& request);
     void onGone(HttpServerSession::Pointer const& session);
     void answerChanges(HttpServerSession::Pointer const& session, RelayQuestion question, Form form);
-    void takeReport(HttpServerSession::Pointer const& session, HttpServerRequest const& request);
+    enum class ReportOrigin {
+        Follower,
+        Relay,
+    };
+    void takeReport(HttpServerSession::Pointer const& session, HttpServerRequest const& request, ReportOrigin origin);
     RelayedNews newsFor(RelayQuestion const& question) const;
     void flushSoon();
     void flush();
@@ -66,7 +79,7 @@
 
     EventLoop& loop;
     RegistrySync& sync;
-    RegistryCompactor compact;
+    Hooks hooks;
     ObservationFeed feed;
     std::deque<CompressedEntries> compressedEntries;
     bool flushPending { false };
--- a/Tests/Integration/test_gateway.py
+++ b/Tests/Integration/test_gateway.py
@@ -429,6 +429,28 @@
         self.assertEqual(len(slow.runs), runs)
         self.assertEqual([run["id"] for run in other.runs][-1], "r2")
 
+    # Guards against a report of every node to every relay, and against relays that tell each other the same for ever.
+    def test_relays_pass_reports_on_to_each_other_once(self):
+        second_address = f"127.0.0.1:{free_port()}"
+        self.relay.stop()
+        relays = [self.relay_address, second_address]
+        nodes = []
+        for name, own in (("first", relays[0]), ("second", relays[1]), ("third", f"127.0.0.1:{free_port()}")):
+            nodes.append(GatewayProcess(self.folder.name, self.store.address, name,
+                                        settings={"relayListen": own, "relays": relays}))
+            self.addCleanup(nodes[-1].stop)
+            nodes[-1].start()
+        slow = Target(self.store, "slow", "shared", "wien-a")
+        self.addCleanup(slow.server.stop)
+        slow.load = "1,0,8,900"
+        self.store.put("op/config", configuration(5, [route("shared", "/shared/", service="shared")], ["shared"]))
+        wait_until(lambda: call(nodes[2].caller_port, "/shared/1", "r1").status == 200, CONFIGURATION_BOUND_S)
+        for relay in nodes[:2]:
+            wait_until(lambda at=relay: at.metrics().get("toucan_gateway_observations_taken_total", 0) >= 1, 1)
+        time.sleep(1)
+        for relay in nodes[:2]:
+            self.assertEqual(relay.metrics()["toucan_gateway_observations_taken_total"], 1)
+
     # Guards against observations that are lost without a trace.
     def test_lost_observations_are_logged(self):
         follower = self.follower(self.store.address)
