Wake every holder that may grow, count refused connections, give callers a larger reserve

Cause: found by reading the change: a holder could move into the reserve while another one was resized, and was not woken before the next release; connections refused without an answer left no trace; the reserve for callers was the body limit of the defaults, which a configuration may exceed. Change: one pass wakes all that may grow; connections_refused counts; the reserve is 1 MiB. Test: FloodOfConnectionsIsClosedWithoutAnAnswer counts the refusals.

--- a/Libraries/Base/ByteBudget.cpp
+++ b/Libraries/Base/ByteBudget.cpp
@@ -43,6 +43,8 @@
 
 void ByteBudget::resumeWaiting()
 {
+    if (this->waiting.empty() && !this->inReserve)
+        return;
     // A resumed holder may give bytes back itself, which the running pass takes into account.
     if (std::exchange(this->resuming, true))
         return;
@@ -70,21 +72,15 @@
         this->budget->takenBytes -= before;
     }
     this->budget->waiting.erase(this->turn);
+    this->resume = nullptr;
     if (!this->budget->mayGrow(*this)) {
         if (!this->turn)
             this->turn = ++this->budget->lastTurn;
         this->budget->waiting.emplace(this->turn, this);
         this->resume = std::move(resumeReading);
-        this->budget->fillReserve();
-        if (this != this->budget->inReserve || !this->budget->mayGrow(*this))
-            return false;
-        this->budget->waiting.erase(this->turn);
-        this->resume = nullptr;
-        return true;
     }
-    if (this->counted() < before)
-        this->budget->resumeWaiting();
-    return true;
+    this->budget->resumeWaiting();
+    return !this->resume;
 }
 
 void ByteBudget::Holder::complete()
--- a/Libraries/Base/ByteBudget.h
+++ b/Libraries/Base/ByteBudget.h
@@ -62,7 +62,7 @@
     Holder& operator=(Holder const&) = delete;
 
     /// Notes that `bytes` are held now. Returns whether more may be read; otherwise `resume` is called once when it
-    /// may. `resume` must not destroy a holder.
+    /// may, which can be within the call. `resume` must not destroy a holder.
     bool resize(size_t bytes, std::function<void()> resume);
     /// The holder will not grow any more; it leaves the reserve to others as soon as the total has room.
     void complete();
--- a/Libraries/GatewayNode/GatewayServer.cpp
+++ b/Libraries/GatewayNode/GatewayServer.cpp
@@ -28,6 +28,8 @@
 /// Room that every connection has without asking, so that usual messages never wait for large ones.
 constexpr size_t answerAllowance = 16384;
 constexpr size_t callerAllowance = 2048;
+/// Above the bodies that configurations allow.
+constexpr size_t callerReserve = 1048576;
 /// A connection exceeds its room by one such read at most.
 constexpr size_t targetReceiveBytes = 16384;
 constexpr size_t callerReceiveBytes = 4096;
@@ -59,8 +61,8 @@
           this->createGatewayHooks())
     , answerBudget(ByteBudget::create(
           { memoryShare(this->settings, answerMemoryDivisor), answerAllowance, this->settings.answerBytes }))
-    , callerBudget(ByteBudget::create({ memoryShare(this->settings, callerMemoryDivisor), callerAllowance,
-          this->gateway.callerLimits().bodyBytes }))
+    , callerBudget(
+          ByteBudget::create({ memoryShare(this->settings, callerMemoryDivisor), callerAllowance, callerReserve }))
     , pool(this->loop, this->targetLimits())
     , callers(this->loop, this->settings.callerListen, this->callerLimits(), this->createCallerHooks())
     , readiness(this->loop, this->settings.readyListen, { {}, adminConnections },
@@ -186,7 +188,7 @@
     return limits;
 }
 
-HttpServer::Limits GatewayServer::callerLimits() const
+HttpServer::Limits GatewayServer::callerLimits()
 {
     auto const limits = this->gateway.callerLimits();
     HttpServer::Limits result;
@@ -196,6 +198,7 @@
     result.session.requestTimeout = limits.requestTimeout;
     result.session.idleTimeout = limits.idleTimeout;
     result.connections = callerConnections;
+    result.refused = [this] { this->gateway.shared().metrics.count("connections_refused"); };
     return result;
 }
 
--- a/Libraries/GatewayNode/GatewayServer.h
+++ b/Libraries/GatewayNode/GatewayServer.h
@@ -60,7 +60,7 @@
     void report(std::string const& relay, RelayClient::Reporter reporter, std::string const& body);
     bool isRelay() const;
     HttpServerSession::Hooks createCallerHooks();
-    HttpServer::Limits callerLimits() const;
+    HttpServer::Limits callerLimits();
     HttpClientPool::Limits targetLimits();
     Canceller sendAttempt(AttemptMessage&& message, std::function<void(AttemptReply&&)> done);
     /// Connections of this node to one target, so that all nodes together stay below the target's limit.
--- a/Libraries/Net/HttpServer.cpp
+++ b/Libraries/Net/HttpServer.cpp
@@ -56,6 +56,8 @@
 
 void HttpServer::refuse(Poco::Net::StreamSocket const& socket)
 {
+    if (this->limits.refused)
+        this->limits.refused();
     auto const now = Clock::now();
     if (now - this->refusalsStart >= refusalPeriod) {
         this->refusalsStart = now;
--- a/Libraries/Net/HttpServer.h
+++ b/Libraries/Net/HttpServer.h
@@ -4,6 +4,7 @@
 #include "Net/TcpListener.h"
 
 #include <cstddef>
+#include <functional>
 #include <memory>
 #include <string>
 #include <unordered_set>
@@ -17,6 +18,8 @@
     struct Limits {
         HttpServerLimits session;
         size_t connections { 1000 };
+        /// Called for each connection that is refused, whether it gets an answer or not.
+        std::function<void()> refused {};
     };
 
     /// Throws as TcpListener does. `hooks.closed` must not be set.
--- a/Tests/Net/TestHttpServerSession.cpp
+++ b/Tests/Net/TestHttpServerSession.cpp
@@ -292,6 +292,10 @@
 // Guards against refused connections that use up the descriptors.
 TEST(HttpServerSession, FloodOfConnectionsIsClosedWithoutAnAnswer)
 {
+    auto limits = testLimits();
+    int refused = 0;
+    limits.refused = [&refused] { ++refused; };
+    this->server->setLimits(limits);
     std::vector<RawPeer> peers;
     peers.reserve(200);
     for (int count = 0; count < 8; ++count)
@@ -310,6 +314,8 @@
     }
     CHECK(answered > 0);
     CHECK(answered <= 64);
+    // Those without an answer are counted as well.
+    LONGS_EQUAL(192, refused);
 }
 
 // Guards against a planned stop under load that resets the connections which wait beyond one round of accepts.
