--- a/Scripts/measure_misbehaviour.py
+++ b/Scripts/measure_misbehaviour.py
@@ -77,34 +77,44 @@
     results.put((quantile(latencies, 0.5), quantile(latencies, 0.99), failed))
 
 
-def target_process(store_address, form, slow, registrations, stop):
-    """The misbehaving targets in a process of their own."""
-    class Recorder:
-        """Passes registrations on to the process that owns the store."""
+class Registrations:
+    """Stands for the store in a process of targets: passes registrations on to the process that owns it."""
 
-        def put(self, key, value):
-            """Records one registration."""
-            registrations.put((key, value))
+    def __init__(self, queue):
+        self.queue = queue
 
-    del store_address
-    for service in (*SHARDS, "mixed"):
-        MisbehavingTarget(Recorder(), f"{service}-bad", service, form=form, slow=slow)
-    registrations.put(None)
-    stop.wait()
+    def put(self, key, value):
+        """Records one registration."""
+        self.queue.put((key, value))
+
+
+def start_targets(context, store, stop, create):
+    """Runs targets in a process of their own, so that they share no interpreter with others; returns the process."""
+    queue = context.Queue()
+
+    def run():
+        create(Registrations(queue))
+        queue.put(None)
+        stop.wait()
+
+    process = context.Process(target=run)
+    process.start()
+    for key, value in iter(queue.get, None):
+        store.put(key, value)
+    return process
 
 
 def measure(form, slow, seconds):
     """Plays one form; returns a row of the table."""
     context = multiprocessing.get_context("fork")
     with tempfile.TemporaryDirectory() as folder:
-        store, stop, registrations = Store(), context.Event(), context.Queue()
-        bad = None
+        store, stop = Store(), context.Event()
+        mixed = (*SHARDS, "mixed")
+        targets = [start_targets(context, store, stop, lambda to: [Target(to, f"{name}-good", name) for name in mixed]),
+                   start_targets(context, store, stop, lambda to: [Target(to, "sound-good", "sound")])]
         if form:
-            bad = context.Process(target=target_process, args=(store.address, form, slow, registrations, stop))
-            bad.start()
-            for key, value in iter(registrations.get, None):
-                store.put(key, value)
-        targets = [Target(store, f"{service}-good", service) for service in (*SHARDS, "mixed", "sound")]
+            targets.append(start_targets(context, store, stop, lambda to: [
+                MisbehavingTarget(to, f"{name}-bad", name, form=form, slow=slow) for name in mixed]))
         routes = [route("search", "/search/", gather=list(SHARDS), top_k=4, min_bound=0.66),
                   route("mixed", "/mixed/", service="mixed"), route("sound", "/sound/", service="sound")]
         store.put("op/config", configuration(3, routes, [*SHARDS, "mixed", "sound"]))
@@ -120,11 +130,9 @@
             process.join()
         memory = peak_memory_mb(gateway.process.pid)
         stop.set()
-        if bad:
-            bad.join()
         gateway.stop()
         for target in targets:
-            target.server.stop()
+            target.join()
         store.stop()
     return asked, late, median, slowest, failed, memory
 
