End attempts that wait for a connection with their request

Cause: attempts that wait at the node for a connection to a target stayed in its queue for 350 ms after their request had been answered without them. Ruled out: a long queue at the target itself; it reported 2 to 4 waiting requests while parts took 250 to 400 ms. Change: an attempt that no connection has taken is cancelled when its request is answered. Attempts on a connection keep their grace period.

--- a/Libraries/Gateway/GatewayRequest.cpp
+++ b/Libraries/Gateway/GatewayRequest.cpp
@@ -147,11 +147,13 @@
     message.needsFreshConnection = this->route.repeatability == Repeatability::NonIdempotent;
     message.isOwnResponse = [names = &this->context.headers, id = this->requestId](HTTPResponse const& head,
                                 bool first) { return answersRequest(head, id, first, *names); };
-    message.beforeSending
-        = [self = this->shared_from_this()](Poco::Net::HTTPRequest& head) { self->setRemainingTime(head); };
     auto const attemptIndex = part.attempts.size();
+    message.beforeSending = [self = this->shared_from_this(), partIndex, attemptIndex](Poco::Net::HTTPRequest& head) {
+        self->parts[partIndex].attempts[attemptIndex].onConnection = true;
+        self->setRemainingTime(head);
+    };
     target->onSent(now);
-    part.attempts.push_back({ target, now, {}, true });
+    part.attempts.push_back({ target, now, {} });
     ++part.sentAttempts;
     bool const idempotent = this->route.repeatability == Repeatability::Idempotent;
     part.hedgeAt.reset();
@@ -288,15 +290,17 @@
         this->parts.begin(), this->parts.end(), [](Part const& part) { return part.state == Part::State::Succeeded; }));
 }
 
-bool GatewayRequest::isSufficient(size_t count) const
+size_t GatewayRequest::requiredParts() const
 {
     if (!this->route.isScattered())
-        return count > 0;
+        return 1;
     // The tolerance keeps 0.9 of 10 shards from becoming 10 by rounding.
     auto const required = std::ceil(this->route.minimumCoverage * static_cast<double>(this->parts.size()) - 1e-9);
-    return count > 0 && static_cast<double>(count) >= required;
+    return std::max<size_t>(static_cast<size_t>(std::max(required, 0.0)), 1);
 }
 
+bool GatewayRequest::isSufficient(size_t count) const { return count >= this->requiredParts(); }
+
 bool GatewayRequest::mayHaveRunAnywhere() const
 {
     return std::any_of(this->parts.begin(), this->parts.end(),
@@ -483,6 +487,7 @@
                 { "late", late ? "yes" : "no" }, { "extra", std::to_string(this->extraAttempts) },
                 { "missing", missing } });
     }
+    this->cancelWaitingAttempts();
     bool const attemptsRunning = std::any_of(
         this->parts.begin(), this->parts.end(), [](Part const& part) { return part.runningAttempts() > 0; });
     if (attemptsRunning)
@@ -492,6 +497,24 @@
         callback(std::move(answer));
 }
 
+void GatewayRequest::cancelAttempt(Attempt& attempt, GatewayTarget::Result result)
+{
+    attempt.running = false;
+    attempt.target->onEnded(result, attempt.sentAt, std::nullopt, this->now());
+    if (attempt.cancel)
+        attempt.cancel();
+}
+
+void GatewayRequest::cancelWaitingAttempts()
+{
+    for (auto& part : this->parts) {
+        for (auto& attempt : part.attempts) {
+            if (attempt.running && !attempt.onConnection)
+                this->cancelAttempt(attempt, GatewayTarget::Result::Abandoned);
+        }
+    }
+}
+
 void GatewayRequest::cancelAttempts()
 {
     if (this->route.repeatability == Repeatability::NonIdempotent)
@@ -500,12 +523,9 @@
         for (auto& attempt : part.attempts) {
             if (!attempt.running)
                 continue;
-            attempt.running = false;
             // An attempt that is still unanswered after the grace period counts as a failure of its target.
             auto const result = this->sendAnswer ? GatewayTarget::Result::Abandoned : GatewayTarget::Result::Failed;
-            attempt.target->onEnded(result, attempt.sentAt, std::nullopt, this->now());
-            if (attempt.cancel)
-                attempt.cancel();
+            this->cancelAttempt(attempt, result);
             // The other idle connections to the target may be dead as well; new ones show whether it responds.
             if (result == GatewayTarget::Result::Failed)
                 this->context.hooks.closeIdle(attempt.target->registration().address);
--- a/Libraries/Gateway/GatewayRequest.h
+++ b/Libraries/Gateway/GatewayRequest.h
@@ -37,6 +37,8 @@
         Milliseconds sentAt;
         Canceller cancel;
         bool running { true };
+        /// Whether a connection has taken the request; until then the attempt waits for one at this node.
+        bool onConnection { false };
     };
     struct Part {
         enum class State {
@@ -97,6 +99,7 @@
     /// Answers as soon as the parts that have arrived or failed determine the result.
     void answerIfDecided();
     size_t succeededParts() const;
+    size_t requiredParts() const;
     /// Whether this number of succeeded parts reaches the minimum coverage.
     bool isSufficient(size_t count) const;
     /// Whether a target ran or may have run any part.
@@ -111,6 +114,10 @@
     /// Ends the request; its attempts may still run.
     void finish();
     void cancelAttempts();
+    /// Cancels the attempts that still wait for a connection, so that they don't take it from requests that can still
+    /// be answered.
+    void cancelWaitingAttempts();
+    void cancelAttempt(Attempt& attempt, GatewayTarget::Result result);
 
     GatewayContext& context;
     std::shared_ptr<RouteTable const> table;
--- a/Tests/Gateway/GatewayFixture.h
+++ b/Tests/Gateway/GatewayFixture.h
@@ -28,6 +28,8 @@
     std::vector<std::string> lines;
     std::vector<ProxiedAnswer> answers;
     std::vector<std::vector<TargetObservation>> sharedObservations;
+    /// When false, attempts wait for a connection at the node.
+    bool connectionsAreFree { true };
     Gateway gateway;
 
     explicit GatewayFixture(ExtraAttemptBudget::Limits budget = { 1, 5, 10000_ms })
@@ -45,6 +47,8 @@
         result.send = [this](AttemptMessage&& message, std::function<void(AttemptReply &&)> done) -> Canceller {
             auto const entry = std::make_shared<Sent>(Sent { std::move(message), std::move(done) });
             this->sent.push_back(entry);
+            if (this->connectionsAreFree)
+                entry->message.beforeSending(entry->message.head);
             return [entry] { entry->cancelled = true; };
         };
         result.schedule = [this](Milliseconds at, std::function<void()> task) -> Canceller {
--- a/Tests/Gateway/TestGatewayRequest.cpp
+++ b/Tests/Gateway/TestGatewayRequest.cpp
@@ -293,6 +293,22 @@
     CHECK(fixture.sent[0]->cancelled);
 }
 
+// Guards against attempts that take a connection from later requests after their own request has been answered.
+TEST(ScatteredRequest, AttemptThatWaitsForAConnectionEndsWithItsRequest)
+{
+    fixture.installScattered(10, 0.8);
+    fixture.connectionsAreFree = false;
+    fixture.request("/search/1");
+    fixture.connectionsAreFree = true;
+    for (size_t index = 0; index < 9; ++index) {
+        fixture.sent[index]->message.beforeSending(fixture.sent[index]->message.head);
+        fixture.reply(index, 200, record('a'));
+    }
+    fixture.advance(200_ms);
+    LONGS_EQUAL(200, fixture.status());
+    CHECK(fixture.sent[9]->cancelled);
+}
+
 // Guards against a complete answer after the objective when a partial one within it is preferred.
 TEST(ScatteredRequest, PartialAnswerIsSentWithinTheObjective)
 {
