Omit parts of overloaded shards before they are sent

Cause: a shard that has lost replicas gets more parts than its last target can process. All of them wait in its queue until they are late, so the answers lack the shard nearly always, after a wait up to the objective. Change: PartAdmission omits parts with a probability that grows with the queue that the best target of the shard reports, within the minimum coverage of the route. ShardOutlook holds what is known of a shard's targets. LoadHarness plays many nodes, callers and targets on a simulated clock.

--- a/Libraries/Gateway/Gateway.cpp
+++ b/Libraries/Gateway/Gateway.cpp
@@ -16,11 +16,12 @@
 {
     DecisionLog log(hooks.log, hooks.now);
     TargetSelector selector(hooks.random);
+    PartAdmission admission(hooks.random);
     ExtraAttemptBudget budget(options.extraAttempts, hooks.random);
     ObservationOutbox outbox({ hooks.now, hooks.schedule, hooks.shareObservations });
     GatewayContext context { std::move(hooks), options.headers, std::move(log), {},
-        TargetDirectory(options.failureDomain, {}), std::move(selector), std::move(budget), {}, std::move(outbox),
-        options.answerBodyLimit };
+        TargetDirectory(options.failureDomain, {}), std::move(selector), std::move(admission), std::move(budget), {},
+        std::move(outbox), options.answerBodyLimit };
     return context;
 }
 
--- a/Libraries/Gateway/GatewayContext.h
+++ b/Libraries/Gateway/GatewayContext.h
@@ -5,6 +5,7 @@
 #include "Gateway/GatewayMessages.h"
 #include "Gateway/GatewayMetrics.h"
 #include "Gateway/ObservationOutbox.h"
+#include "Gateway/PartAdmission.h"
 #include "Gateway/RouteLatencies.h"
 #include "Gateway/TargetDirectory.h"
 #include "Gateway/TargetSelector.h"
@@ -41,6 +42,7 @@
     GatewayMetrics metrics;
     TargetDirectory directory;
     TargetSelector selector;
+    PartAdmission admission;
     ExtraAttemptBudget budget;
     RouteLatencies latencies;
     ObservationOutbox outbox;
--- a/Libraries/Gateway/GatewayRequest.cpp
+++ b/Libraries/Gateway/GatewayRequest.cpp
@@ -1,6 +1,7 @@
 #include "Gateway/GatewayRequest.h"
 
 #include "Gateway/RecordMerger.h"
+#include "Gateway/ShardOutlook.h"
 #include <Poco/NumberFormatter.h>
 #include <Poco/NumberParser.h>
 #include <Poco/String.h>
@@ -78,14 +79,32 @@
     auto const self = this->shared_from_this();
     for (auto const& part : this->parts)
         this->context.budget.onRequest(part.service, this->receivedAt);
+    if (this->route.isScattered())
+        this->admitParts();
     for (size_t index = 0; index < this->parts.size(); ++index) {
-        if (!this->send(index, AttemptReason::First))
+        if (this->parts[index].state == Part::State::Waiting && !this->send(index, AttemptReason::First))
             this->failPart(index);
     }
     this->started = true;
     this->answerIfDecided();
 }
 
+void GatewayRequest::admitParts()
+{
+    auto const now = this->now();
+    std::vector<ShardOutlook> outlooks;
+    for (auto const& part : this->parts)
+        outlooks.push_back(outlookOf(this->context.directory.targets(part.service), now));
+    auto const omitted = this->context.admission.omit(outlooks, this->parts.size() - this->requiredParts());
+    for (auto const index : omitted) {
+        this->context.metrics.count("parts_omitted");
+        this->context.log.line("part-omitted",
+            { { "request", this->requestId }, { "service", this->parts[index].service },
+                { "queue_per_slot", Poco::NumberFormatter::format(outlooks[index].queuePerSlot, 2) } });
+        this->failPart(index);
+    }
+}
+
 Poco::Net::HTTPRequest GatewayRequest::createHead(GatewayTarget const& target) const
 {
     auto head = this->request.head;
@@ -113,12 +132,13 @@
     auto const target = this->context.selector.choose(
         targets, tried, { typical, connections, this->context.hooks.hasIdleConnection }, now);
     if (!target) {
-        part.retryAt = TargetSelector::nextAvailable(targets, now);
+        auto const outlook = outlookOf(targets, now);
+        part.retryAt = outlook.availableAt.value_or(now);
         this->context.metrics.count("attempts_without_target");
         this->context.log.line("no-target",
             { { "request", this->requestId }, { "service", part.service },
                 { "registered", std::to_string(targets.size()) }, { "tried", std::to_string(tried.size()) },
-                { "usable", std::to_string(TargetSelector::countUsable(targets, now)) } });
+                { "usable", std::to_string(outlook.usable) } });
         return false;
     }
     // Attempts after one that was sent add load to the service, whatever the outcome of that one.
--- a/Libraries/Gateway/GatewayRequest.h
+++ b/Libraries/Gateway/GatewayRequest.h
@@ -78,6 +78,8 @@
     GatewayRequest(GatewayContext& context, std::shared_ptr<RouteTable const> table, Route const& route,
         ProxiedRequest&& request, Answered sendAnswer);
 
+    /// Marks the parts that are omitted because the targets of their shards are overloaded as missing.
+    void admitParts();
     Milliseconds now() const { return this->context.hooks.now(); }
     /// Sends the part to another target. Returns false when no target is available or the budget of extra attempts is
     /// spent.
--- a/Libraries/Gateway/GatewayTarget.cpp
+++ b/Libraries/Gateway/GatewayTarget.cpp
@@ -15,6 +15,10 @@
 /// again.
 constexpr Milliseconds slowdownDecayTime { 3000 };
 constexpr Milliseconds failureDecayTime { 2500 };
+/// Weight of one report in the moving average of the queue, and the time constant with which it decays, so that a
+/// target that gets no requests is tried again.
+constexpr double queueWeight = 0.3;
+constexpr Milliseconds queueDecayTime { 500 };
 /// Largest factor by which requests take longer at a target that is warming up.
 constexpr double warmUpFactor = 1.6;
 /// Penalty for targets in other failure domains, because traffic between domains is billed: a share of the usual
@@ -50,6 +54,7 @@
     , warmUpEnd(now + this->entry.warmUpLeft)
     , drainStart(now)
     , slowdownEstimatedAt(now)
+    , queueEstimatedAt(now)
     , failureEstimatedAt(now)
 {
 }
@@ -81,6 +86,11 @@
     return this->failureEstimate * std::exp(-(now - this->failureEstimatedAt).value / failureDecayTime.value);
 }
 
+double GatewayTarget::queuePerSlot(Milliseconds now) const
+{
+    return this->queueEstimate * std::exp(-(now - this->queueEstimatedAt).value / queueDecayTime.value);
+}
+
 void GatewayTarget::block(Milliseconds now)
 {
     auto const time = initialBlockTime * std::pow(2, std::min(this->consecutiveUnreachable, 8U));
@@ -117,6 +127,9 @@
 
 bool GatewayTarget::onLoadReport(ReportedLoad load, Milliseconds now)
 {
+    auto const queue = static_cast<double>(load.waiting) / std::max(load.slots, 1U);
+    this->queueEstimate = this->queuePerSlot(now) * (1 - queueWeight) + queue * queueWeight;
+    this->queueEstimatedAt = now;
     this->load = load;
     this->loadAt = now;
     if (!load.slowdown)
--- a/Libraries/Gateway/GatewayTarget.h
+++ b/Libraries/Gateway/GatewayTarget.h
@@ -77,6 +77,8 @@
     /// Expected latency of a request, with penalties for another failure domain, failures, queued requests and stalled
     /// requests. Lower is better.
     Milliseconds expectedLatency(RequestConditions const& conditions, Milliseconds now) const;
+    /// Requests that wait at the target for each of its slots, by its recent load reports; 0 without reports.
+    double queuePerSlot(Milliseconds now) const;
     /// Ratio of the target's present latency to the usual one, as reported by the target or else as observed.
     double slowdown(Milliseconds now) const;
     /// Moving average of the share of attempts that failed, 0 to 1.
@@ -95,6 +97,9 @@
     std::vector<Milliseconds> sentTimes;
     double slowdownEstimate { 1 };
     Milliseconds slowdownEstimatedAt;
+    /// Moving average of the waiting requests for each slot that the target reported.
+    double queueEstimate { 0 };
+    Milliseconds queueEstimatedAt;
     double failureEstimate { 0 };
     Milliseconds failureEstimatedAt;
     uint32_t consecutiveUnreachable { 0 };
--- /dev/null
+++ b/Libraries/Gateway/ShardOutlook.cpp
@@ -0,0 +1,47 @@
+#include "Gateway/ShardOutlook.h"
+
+#include <algorithm>
+
+namespace Toucan {
+
+/// Time for which a draining target is used when there is no other; it still serves until all nodes know of the drain.
+/// A node may receive the drain notice up to 2.5 s late, and no request may reach the target more than 3 s after the
+/// start of the drain.
+constexpr Milliseconds drainingFallbackTime { 400 };
+
+bool isUsable(GatewayTarget const& target, Milliseconds now)
+{
+    return !target.isReplaced() && !target.isBlocked(now) && !target.isDraining();
+}
+
+bool isLastResort(GatewayTarget const& target, Milliseconds now)
+{
+    return target.isDraining() && !target.isReplaced() && !target.isBlocked(now)
+        && now - target.drainingSince() < drainingFallbackTime;
+}
+
+ShardOutlook outlookOf(std::span<TargetDirectory::TargetPointer const> targets, Milliseconds now)
+{
+    ShardOutlook outlook;
+    std::optional<double> shortestQueue;
+    size_t lastResorts = 0;
+    for (auto const& target : targets) {
+        if (isLastResort(*target, now))
+            ++lastResorts;
+        if (target->isReplaced() || target->isDraining())
+            continue;
+        auto const at = std::max(target->blockEnd(), now);
+        outlook.availableAt = outlook.availableAt ? std::min(*outlook.availableAt, at) : at;
+        if (!isUsable(*target, now))
+            continue;
+        ++outlook.usable;
+        auto const queue = target->queuePerSlot(now);
+        shortestQueue = shortestQueue ? std::min(*shortestQueue, queue) : queue;
+    }
+    if (outlook.usable == 0)
+        outlook.usable = lastResorts;
+    outlook.queuePerSlot = shortestQueue.value_or(0);
+    return outlook;
+}
+
+} // namespace Toucan
--- /dev/null
+++ b/Libraries/Gateway/ShardOutlook.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "Gateway/TargetDirectory.h"
+
+#include <optional>
+#include <span>
+
+namespace Toucan {
+
+/// What this node expects of the targets of one shard or service.
+struct ShardOutlook {
+    /// Targets that may receive a request now.
+    size_t usable { 0 };
+    /// Shortest queue among the usable targets, in waiting requests for each slot.
+    double queuePerSlot { 0 };
+    /// Earliest time at which a target may be tried; empty when none is known that will be usable.
+    std::optional<Milliseconds> availableAt;
+};
+
+/// Whether a target may receive requests: it is not draining, its address is its own, and it is not blocked.
+bool isUsable(GatewayTarget const& target, Milliseconds now);
+/// Whether a draining target may still receive requests that no other target can take.
+bool isLastResort(GatewayTarget const& target, Milliseconds now);
+ShardOutlook outlookOf(std::span<TargetDirectory::TargetPointer const> targets, Milliseconds now);
+
+} // namespace Toucan
--- a/Libraries/Gateway/TargetSelector.h
+++ b/Libraries/Gateway/TargetSelector.h
@@ -18,10 +18,6 @@
     /// Target with the lowest expected latency that is not in `excluded`; null when none may receive a request.
     TargetPointer choose(std::span<TargetPointer const> targets, std::span<TargetPointer const> excluded,
         GatewayTarget::RequestConditions const& conditions, Milliseconds now) const;
-    /// Number of targets that may receive a request; draining ones are not counted.
-    static size_t countUsable(std::span<TargetPointer const> targets, Milliseconds now);
-    /// Earliest time at which a target may be tried; `now` when one is not blocked or there is none.
-    static Milliseconds nextAvailable(std::span<TargetPointer const> targets, Milliseconds now);
 
 private:
     std::function<double()> random;
--- /dev/null
+++ b/Tests/Gateway/LoadHarness.h
@@ -0,0 +1,105 @@
+#pragma once
+
+#include "Gateway/Gateway.h"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace Toucan {
+
+/// Plays a load on gateways with a simulated clock: targets with slots, a queue, connections and faults, and callers
+/// that send requests at a fixed mean rate whatever the answers are. Equal seeds give equal runs.
+class LoadHarness {
+public:
+    struct Target {
+        std::string id;
+        std::string service;
+        std::string failureDomain { "wien-a" };
+        uint32_t slots { 2 };
+        size_t queueLimit { 12 };
+        /// Mean processing time of one request.
+        Milliseconds work { 8 };
+        /// Share of the arrivals that are rejected without being run.
+        double rejectedShare { 0 };
+        /// Whether requests arrive and are never answered.
+        bool isDark { false };
+        size_t arrivals { 0 };
+        size_t rejections { 0 };
+    };
+    /// What the callers of one route got.
+    struct Result {
+        size_t asked { 0 };
+        size_t inTime { 0 };
+        /// In time and without missing shards.
+        size_t whole { 0 };
+        size_t late { 0 };
+        size_t refused { 0 };
+        size_t failed { 0 };
+        /// Latest final answer, since the caller's request.
+        Milliseconds longest;
+        /// Sum over the answers in time of the square of the share of the shards that is in.
+        double worth { 0 };
+        double worthShare() const { return this->asked ? this->worth / static_cast<double>(this->asked) : 0; }
+    };
+
+    LoadHarness(size_t nodes, uint32_t connectionsPerNode, ExtraAttemptBudget::Limits budget, uint64_t seed);
+    ~LoadHarness();
+    LoadHarness(LoadHarness const&) = delete;
+    LoadHarness& operator=(LoadHarness const&) = delete;
+
+    void install(RoutingConfiguration const& configuration);
+    void addTarget(Target target);
+    void removeTarget(std::string const& id);
+    Target& target(std::string const& id);
+    /// Requests of the route arrive at random nodes at this rate until `end`.
+    void addCallers(Route const& route, double requestsPerSecond, Milliseconds end);
+    /// Calls `task` at the given time.
+    void at(Milliseconds time, std::function<void()> task);
+    /// Runs all events until `end`.
+    void run(Milliseconds end);
+
+    Result const& result(std::string const& route) const { return this->results.at(route); }
+    uint64_t count(std::string const& counter) const;
+    Milliseconds now() const { return this->time; }
+
+private:
+    struct Exchange;
+    struct Node;
+    struct Running {
+        Target target;
+        std::deque<std::shared_ptr<Exchange>> queue;
+        size_t busySlots { 0 };
+    };
+
+    static constexpr Milliseconds networkDelay { 1 };
+
+    GatewayHooks createHooks(Node& node);
+    Canceller send(Node& node, AttemptMessage&& message, std::function<void(AttemptReply&&)> done);
+    void startWaiting(Node& node, std::string const& address);
+    void dispatch(std::shared_ptr<Exchange> const& exchange);
+    void arrive(std::shared_ptr<Exchange> const& exchange);
+    void startQueued(Running& target);
+    void answer(std::shared_ptr<Exchange> const& exchange, bool wasRun);
+    void end(std::shared_ptr<Exchange> const& exchange);
+    void onTimeout(std::shared_ptr<Exchange> const& exchange);
+    void scheduleCaller(Route const& route, double requestsPerSecond, Milliseconds end);
+    void call(Route const& route, Milliseconds firstAsked, bool isRetry);
+    void onAnswer(Route const& route, Milliseconds firstAsked, bool isRetry, ProxiedAnswer const& answer);
+    double random() { return std::uniform_real_distribution<double>(0, 1)(this->engine); }
+
+    Milliseconds time { 1000 };
+    uint64_t nextEvent { 0 };
+    std::map<std::pair<double, uint64_t>, std::function<void()>> events;
+    std::mt19937_64 engine;
+    uint32_t connections;
+    std::vector<std::unique_ptr<Node>> nodes;
+    std::map<std::string, Running> targets;
+    std::map<std::string, Result> results;
+    uint64_t requests { 0 };
+};
+
+} // namespace Toucan
--- /dev/null
+++ b/Tests/Gateway/TestGatewayLoad.cpp
@@ -0,0 +1,65 @@
+#include "GatewayFixture.h"
+#include "LoadHarness.h"
+
+#include "CppUTest/TestHarness.h"
+
+using namespace Toucan;
+
+/// Loads that single nodes can't see: many nodes decide on the same targets.
+TEST_GROUP(GatewayLoad)
+{
+    static constexpr ExtraAttemptBudget::Limits usualBudget { 0.19, 1.9, 10000_ms };
+    static constexpr size_t shards = 10;
+
+    static Route searchRoute()
+    {
+        auto route = GatewayFixture::scatteredRoute(shards, 0.89);
+        route.objective = 80_ms;
+        route.timeout = 1200_ms;
+        return route;
+    }
+
+    /// Three targets for each shard, "0-a", "0-b", "0-c", "1-a" and so on.
+    static void addShards(LoadHarness & harness)
+    {
+        harness.install({ 1, { searchRoute() }, {}, {} });
+        for (size_t shard = 0; shard < shards; ++shard) {
+            for (char const* name : { "a", "b", "c" }) {
+                LoadHarness::Target target;
+                target.id = std::to_string(shard) + "-" + name;
+                target.service = "shard-" + std::to_string(shard);
+                harness.addTarget(target);
+            }
+        }
+    }
+};
+
+// Guards against a shard whose last replica, at a load somewhat above its capacity, answers next to nothing in time,
+// because all parts wait in its queue until they are late.
+TEST(GatewayLoad, OverloadedShardAnswersMostOfItsCapacityInTime)
+{
+    constexpr double seconds = 10;
+    constexpr double capacityPerSecond = 125;
+    LoadHarness harness(8, 2, usualBudget, 1);
+    addShards(harness);
+    harness.removeTarget("0-b");
+    harness.removeTarget("0-c");
+    harness.target("0-a").work = 16_ms;
+    harness.addCallers(searchRoute(), 1.28 * capacityPerSecond, 11000_ms);
+    harness.run(13000_ms);
+    auto const& result = harness.result("search");
+    CHECK(static_cast<double>(result.whole) >= 2.0 / 3 * capacityPerSecond * seconds);
+    CHECK(static_cast<double>(harness.target("0-a").arrivals) <= 1.2 * capacityPerSecond * seconds);
+    CHECK(result.inTime >= result.asked * 99 / 100);
+}
+
+// Guards against omitting parts while the targets keep up with the load.
+TEST(GatewayLoad, NoPartIsOmittedBelowTheCapacity)
+{
+    LoadHarness harness(8, 2, usualBudget, 2);
+    addShards(harness);
+    harness.addCallers(searchRoute(), 200, 11000_ms);
+    harness.run(13000_ms);
+    LONGS_EQUAL(0, harness.count("parts_omitted"));
+    CHECK(harness.result("search").worthShare() >= 0.98);
+}
--- a/Tests/Gateway/TestGatewayParts.cpp
+++ b/Tests/Gateway/TestGatewayParts.cpp
@@ -5,6 +5,7 @@
 #include "Gateway/ReportedSlowdown.h"
 #include "Gateway/RouteLatencies.h"
 #include "Gateway/RouteTable.h"
+#include "Gateway/ShardOutlook.h"
 #include "Gateway/TargetDirectory.h"
 #include "Gateway/TargetSelector.h"
 
@@ -384,7 +385,7 @@
     CHECK(!near().isBlocked(now + 300_ms));
     near().onEnded(GatewayTarget::Result::Unreachable, now, 10_ms, now);
     CHECK(near().isBlocked(now + 400_ms));
-    DOUBLES_EQUAL(1500, TargetSelector::nextAvailable(directory.targets("s").first(1), now).value, 1);
+    DOUBLES_EQUAL(1500, outlookOf(directory.targets("s").first(1), now).availableAt.value().value, 1);
 }
 
 // Guards against requests to a target that is about to stop.
