Omit no part while other shards are expected to fail

Cause: an omission uses up the coverage that an answer may lack. Change: the omissions leave room for the number of other shards that are expected to fail, by the failure share of their best targets.

--- a/Libraries/Gateway/PartAdmission.cpp
+++ b/Libraries/Gateway/PartAdmission.cpp
@@ -1,6 +1,7 @@
 #include "Gateway/PartAdmission.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace Toucan {
 
@@ -25,18 +26,19 @@
 std::vector<size_t> PartAdmission::omit(std::span<ShardOutlook const> shards, size_t allowance) const
 {
     std::vector<size_t> candidates;
-    size_t unavailable = 0;
+    double expectedMissing = 0;
     for (size_t index = 0; index < shards.size(); ++index) {
-        if (shards[index].usable == 0)
-            ++unavailable;
-        else if (omittedShare(shards[index]) > 0)
+        if (omittedShare(shards[index]) > 0)
             candidates.push_back(index);
+        else
+            expectedMissing += shards[index].usable == 0 ? 1 : shards[index].failureShare;
     }
+    auto const reserved = static_cast<size_t>(std::lround(expectedMissing));
     std::sort(candidates.begin(), candidates.end(),
         [shards](size_t left, size_t right) { return shards[left].queuePerSlot > shards[right].queuePerSlot; });
     std::vector<size_t> omitted;
     for (auto const index : candidates) {
-        if (omitted.size() + unavailable >= allowance)
+        if (omitted.size() + reserved >= allowance)
             break;
         if (this->random() < omittedShare(shards[index]))
             omitted.push_back(index);
--- a/Libraries/Gateway/PartAdmission.h
+++ b/Libraries/Gateway/PartAdmission.h
@@ -17,8 +17,8 @@
     /// `random` returns numbers in [0, 1).
     explicit PartAdmission(std::function<double()> random);
 
-    /// Indices of the shards whose parts are omitted, at most `allowance` together with the shards that have no usable
-    /// target. Those with the longest queues come first.
+    /// Indices of the shards whose parts are omitted, those with the longest queues first. Together with the parts of
+    /// other shards that are expected to fail they are at most `allowance`.
     std::vector<size_t> omit(std::span<ShardOutlook const> shards, size_t allowance) const;
 
 private:
--- a/Libraries/Gateway/ShardOutlook.cpp
+++ b/Libraries/Gateway/ShardOutlook.cpp
@@ -24,6 +24,7 @@
 {
     ShardOutlook outlook;
     std::optional<double> shortestQueue;
+    std::optional<double> lowestFailureShare;
     size_t lastResorts = 0;
     for (auto const& target : targets) {
         if (isLastResort(*target, now))
@@ -36,11 +37,14 @@
             continue;
         ++outlook.usable;
         auto const queue = target->queuePerSlot(now);
-        shortestQueue = shortestQueue ? std::min(*shortestQueue, queue) : queue;
+        shortestQueue = std::min(shortestQueue.value_or(queue), queue);
+        auto const failureShare = target->failureShare(now);
+        lowestFailureShare = std::min(lowestFailureShare.value_or(failureShare), failureShare);
     }
     if (outlook.usable == 0)
         outlook.usable = lastResorts;
     outlook.queuePerSlot = shortestQueue.value_or(0);
+    outlook.failureShare = lowestFailureShare.value_or(0);
     return outlook;
 }
 
--- a/Libraries/Gateway/ShardOutlook.h
+++ b/Libraries/Gateway/ShardOutlook.h
@@ -13,6 +13,8 @@
     size_t usable { 0 };
     /// Shortest queue among the usable targets, in waiting requests for each slot.
     double queuePerSlot { 0 };
+    /// Lowest share of failed attempts among the usable targets, 0 to 1.
+    double failureShare { 0 };
     /// Earliest time at which a target may be tried; empty when none is known that will be usable.
     std::optional<Milliseconds> availableAt;
 };
--- a/Tests/Gateway/TestGatewayLoad.cpp
+++ b/Tests/Gateway/TestGatewayLoad.cpp
@@ -63,3 +63,35 @@
     LONGS_EQUAL(0, harness.count("parts_omitted"));
     CHECK(harness.result("search").worthShare() >= 0.98);
 }
+
+TEST_GROUP(PartAdmission)
+{
+    PartAdmission admission { [] { return 0.5; } };
+
+    static ShardOutlook outlook(double queuePerSlot, double failureShare = 0)
+    {
+        return { .usable = 1, .queuePerSlot = queuePerSlot, .failureShare = failureShare, .availableAt = {} };
+    }
+};
+
+// Guards against an answer that fails because its only part that may be missing was omitted before another one failed.
+TEST(PartAdmission, KeepsTheAllowanceForShardsThatAreExpectedToFail)
+{
+    std::vector<ShardOutlook> const sound { outlook(3), outlook(0), outlook(0) };
+    LONGS_EQUAL(1, admission.omit(sound, 1).size());
+    std::vector<ShardOutlook> const failing { outlook(3), outlook(0, 0.4), outlook(0, 0.4) };
+    LONGS_EQUAL(0, admission.omit(failing, 1).size());
+    LONGS_EQUAL(1, admission.omit(failing, 2).size());
+    std::vector<ShardOutlook> const unavailable { outlook(3), {}, outlook(0) };
+    LONGS_EQUAL(0, admission.omit(unavailable, 1).size());
+}
+
+// Guards against a coverage that is lowered further than the queues require.
+TEST(PartAdmission, OmitsTheLongestQueuesFirst)
+{
+    std::vector<ShardOutlook> const shards { outlook(2), outlook(9), outlook(0) };
+    auto const omitted = admission.omit(shards, 1);
+    LONGS_EQUAL(1, omitted.size());
+    LONGS_EQUAL(1, omitted[0]);
+    LONGS_EQUAL(0, admission.omit(shards, 0).size());
+}
