Count losses by cause from the logs of many gateways

tgctl losses reads the nodes' logs and counts the requests that were late, partial, refused or failed by time slice and cause, with the shard and target that most of them name, as a table or JSON. Lines that cannot be read are counted and named. Cause: the causes of a bad second were assembled by hand.

--- a/Programs/tgctl/main.cpp
+++ b/Programs/tgctl/main.cpp
@@ -1,6 +1,9 @@
 #include "Base/Error.h"
+#include "Base/Json.h"
 #include "Operator/FolderReader.h"
 #include "Operator/JsonRpcClient.h"
+#include "Operator/LogReader.h"
+#include "Operator/LossReport.h"
 #include "Operator/OperatorCommands.h"
 #include "Operator/PlatformStore.h"
 
@@ -246,6 +249,34 @@
     return arguments.run([&](OperatorCommands& commands) { return commands.view(nodes, name.getValue()); });
 }
 
+static ExitCode runLosses(std::vector<std::string>& rawArguments)
+{
+    constexpr double defaultSliceSeconds = 2;
+    constexpr double bytesPerMegabyte = 1e6;
+    Arguments arguments(
+        "Counts, from the logs of toucan-gateway nodes, which requests were late, partial, refused or failed in each "
+        "time slice, by cause, with the shard and the target that most of them name. Lines that cannot be read are "
+        "counted. Exit codes: 0 counted, 2 wrong arguments or a file that cannot be read.");
+    TCLAP::UnlabeledMultiArg<std::string> const logs(
+        "logs", "files of the nodes' logs", true, "FILE...", arguments.line);
+    TCLAP::ValueArg<double> const slice(
+        "", "slice", "length of a time slice (default: 2)", false, defaultSliceSeconds, "SECONDS", arguments.line);
+    TCLAP::SwitchArg const json("j", "json", "print JSON in place of the table", arguments.line);
+    arguments.line.parse(rawArguments);
+    if (!(slice.getValue() > 0))
+        throw Error(ErrorKind::InvalidInput, "The slice must be longer than 0 s", "Give --slice in seconds");
+    LossReport report(Milliseconds { 1000 * slice.getValue() });
+    LogReaderHooks hooks;
+    hooks.line = [&report](std::string_view line, std::string_view place) { report.add(line, place); };
+    hooks.progress = [](uint64_t read, uint64_t total) {
+        std::cerr << "read " << static_cast<double>(read) / bytesPerMegabyte << " of "
+                  << static_cast<double>(total) / bytesPerMegabyte << " MB\n";
+    };
+    readLogs(logs.getValue(), hooks);
+    std::cout << (json.getValue() ? writeJson(report.toJson()) + "\n" : report.table());
+    return ExitCode::Ok;
+}
+
 static std::vector<Command> const& allCommands()
 {
     static std::vector<Command> const commands {
@@ -257,6 +288,7 @@
         { "burn", "show the use of the services' error budgets", runBurn },
         { "drain", "take a target out of service, or back", runDrain },
         { "view", "print the state of one node", runView },
+        { "losses", "count from gateways' logs which requests were not served well, and why", runLosses },
     };
     return commands;
 }
