--- a/Libraries/Gateway/Gateway.h
+++ b/Libraries/Gateway/Gateway.h
@@ -25,6 +25,7 @@
         size_t maximumRunningBytes { 20971520 };
         /// Largest answer of a target that is forwarded, in bytes.
         size_t answerBodyLimit { 4194304 };
+        Mechanisms mechanisms {};
     };
 
     Gateway(Options options, GatewayHooks hooks);
--- a/Libraries/Gateway/GatewayContext.h
+++ b/Libraries/Gateway/GatewayContext.h
@@ -4,6 +4,7 @@
 #include "Gateway/ExtraAttemptBudget.h"
 #include "Gateway/GatewayMessages.h"
 #include "Gateway/GatewayMetrics.h"
+#include "Gateway/Mechanisms.h"
 #include "Gateway/ObservationOutbox.h"
 #include "Gateway/PartAdmission.h"
 #include "Gateway/RetryAdvice.h"
@@ -50,6 +51,7 @@
     ObservationOutbox outbox;
     /// Largest answer of a target that is forwarded, in bytes.
     size_t answerBodyLimit { 0 };
+    Mechanisms mechanisms;
     /// Requests that have been neither answered nor abandoned by their callers.
     size_t running { 0 };
     /// Estimated memory of these requests, in bytes.
--- a/Libraries/Gateway/GatewayRequest.cpp
+++ b/Libraries/Gateway/GatewayRequest.cpp
@@ -65,7 +65,8 @@
     this->deadline = this->receivedAt + std::max(timeout - answerMargin, timeout * 0.5);
     auto const reserve = objectiveMargin + this->request.transitTime;
     auto const partial = this->receivedAt + std::max(route.objective - reserve, route.objective * 0.5);
-    this->partialAnswerAt = std::min(partial, this->deadline);
+    bool const early = context.mechanisms.isEnabled(Mechanism::EarlyPartialAnswers);
+    this->partialAnswerAt = early ? std::min(partial, this->deadline) : this->deadline;
     this->body = std::make_shared<std::string const>(std::move(this->request.body));
     removeConnectionFields(this->request.head);
     this->request.head.erase(context.headers.expectedTarget);
@@ -115,6 +116,8 @@
         this->answerFailure();
         return false;
     }
+    if (!this->context.mechanisms.isEnabled(Mechanism::PartAdmission))
+        return true;
     auto const omitted = this->context.admission.omit(outlooks, this->parts.size() - this->requiredParts());
     for (auto const index : omitted) {
         this->context.metrics.count("parts_omitted");
@@ -151,7 +154,7 @@
     auto const typical = this->context.latencies.typical(this->route, now);
     auto const connections = this->context.hooks.connectionShare(this->table->connectionLimit(part.service));
     auto const target = this->context.selector.choose(
-        targets, tried, { typical, connections, this->context.hooks.hasIdleConnection }, now);
+        targets, tried, { typical, connections, this->context.hooks.hasIdleConnection, this->context.mechanisms }, now);
     if (!target) {
         auto const outlook = outlookOf(targets, now);
         part.retryAt = outlook.availableAt;
@@ -192,9 +195,10 @@
     target->onSent(now);
     part.attempts.push_back({ target, now, {} });
     ++part.sentAttempts;
-    bool const idempotent = this->route.repeatability == Repeatability::Idempotent;
+    bool const mayHedge = this->route.repeatability == Repeatability::Idempotent
+        && this->context.mechanisms.isEnabled(Mechanism::Hedging);
     part.hedgeAt.reset();
-    if (idempotent && part.runs + part.runningAttempts() < this->route.maximumRuns)
+    if (mayHedge && part.runs + part.runningAttempts() < this->route.maximumRuns)
         part.hedgeAt = now
             + this->context.latencies.hedgeDelay(this->route, this->context.budget.spentShare(part.service, now), now);
     part.attempts[attemptIndex].cancel = this->context.hooks.send(
@@ -210,11 +214,12 @@
     using Result = GatewayTarget::Result;
     auto const now = this->now();
     auto result = Result::Failed;
+    bool const mayBlock = this->context.mechanisms.isEnabled(Mechanism::Blocking);
     if (outcome == AttemptOutcome::Success)
         result = Result::Succeeded;
-    else if (reply.transport == AttemptReply::Transport::Rejected)
+    else if (mayBlock && reply.transport == AttemptReply::Transport::Rejected)
         result = Result::Full;
-    else if (outcome == AttemptOutcome::NotSent)
+    else if (mayBlock && outcome == AttemptOutcome::NotSent)
         result = Result::Unreachable;
     else if (outcome == AttemptOutcome::NotRun)
         result = Result::NotRun;
@@ -227,7 +232,8 @@
         this->context.hooks.closeIdle(attempt.target->registration().address);
     if (reply.transport == AttemptReply::Transport::Answered) {
         auto const load = readLoad(reply.head, this->context.headers);
-        if (load && attempt.target->onLoadReport(*load, now))
+        bool const sharing = this->context.mechanisms.isEnabled(Mechanism::SharedObservations);
+        if (load && attempt.target->onLoadReport(*load, now) && sharing)
             this->context.outbox.add(attempt.target->registration().id, *load->slowdown);
     }
     if (outcome == AttemptOutcome::Success)
@@ -552,6 +558,8 @@
 
 void GatewayRequest::cancelWaitingAttempts()
 {
+    if (!this->context.mechanisms.isEnabled(Mechanism::WaitingAttemptCancellation))
+        return;
     for (auto& part : this->parts) {
         for (auto& attempt : part.attempts) {
             if (attempt.running && !attempt.onConnection)
--- a/Libraries/Gateway/GatewayTarget.cpp
+++ b/Libraries/Gateway/GatewayTarget.cpp
@@ -140,23 +140,34 @@
     return higher >= minimumSharedSlowdown && higher >= lower * minimumSharedChange;
 }
 
-Milliseconds GatewayTarget::expectedLatency(RequestConditions const& conditions, Milliseconds now) const
+double GatewayTarget::expectedWaiting(uint32_t connections, Milliseconds now) const
 {
-    auto const typical = conditions.typical;
-    auto expected = typical * this->slowdown(now);
-    if (this->warmUpEnd > now)
-        expected = expected * warmUpFactor;
     double const slots = std::max(this->entry.slots, 1U);
     // Requests of this node wait for a slot of the target or for one of this node's connections to it.
-    double const concurrency = std::min(slots, static_cast<double>(conditions.connections));
+    double const concurrency = std::min(slots, static_cast<double>(connections));
     double waiting = std::max(0.0, static_cast<double>(this->sentTimes.size()) + 1 - concurrency) * slots / concurrency;
     if (this->loadAt && now - *this->loadAt < loadLifetime) {
         // The weight of the load that the target reported with an answer falls linearly with the report's age.
         auto const weight = 1 - (now - *this->loadAt).value / loadLifetime.value;
         waiting = std::max(waiting, weight * (this->load.running + this->load.waiting + 1 - slots));
     }
-    expected = expected * (1 + waiting / slots);
-    expected += typical * (failurePenaltyRatio * this->failureShare(now));
+    return waiting;
+}
+
+Milliseconds GatewayTarget::expectedLatency(RequestConditions const& conditions, Milliseconds now) const
+{
+    auto const typical = conditions.typical;
+    auto const& mechanisms = conditions.mechanisms;
+    auto expected = typical;
+    if (mechanisms.isEnabled(Mechanism::SlowdownAwareChoice))
+        expected = expected * this->slowdown(now);
+    if (this->warmUpEnd > now)
+        expected = expected * warmUpFactor;
+    if (mechanisms.isEnabled(Mechanism::LoadAwareChoice))
+        expected
+            = expected * (1 + this->expectedWaiting(conditions.connections, now) / std::max(this->entry.slots, 1U));
+    if (mechanisms.isEnabled(Mechanism::FailureAwareChoice))
+        expected += typical * (failurePenaltyRatio * this->failureShare(now));
     if (!this->sentTimes.empty()) {
         auto const limit = std::max(expected * stalledRatio, minimumStallTime);
         if (now - this->sentTimes.front() > limit)
@@ -164,7 +175,7 @@
     }
     if (conditions.hasIdleConnection && !conditions.hasIdleConnection(this->entry.address))
         expected += newConnectionTime;
-    if (!this->sameFailureDomain)
+    if (!this->sameFailureDomain && mechanisms.isEnabled(Mechanism::FailureDomainPreference))
         expected += std::clamp(typical * remotePenaltyRatio, minimumRemotePenalty, maximumRemotePenalty);
     return expected;
 }
--- a/Libraries/Gateway/GatewayTarget.h
+++ b/Libraries/Gateway/GatewayTarget.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Gateway/Mechanisms.h"
 #include "Gateway/ReportedSlowdown.h"
 #include "Gateway/TargetRegistration.h"
 
@@ -45,6 +46,7 @@
         uint32_t connections { 1 };
         /// Whether a request to an address needs no new connection; may be empty.
         std::function<bool(std::string const& address)> hasIdleConnection {};
+        Mechanisms mechanisms {};
     };
 
     GatewayTarget(TargetRegistration registration, bool sameFailureDomain, Milliseconds now);
@@ -85,6 +87,8 @@
     double failureShare(Milliseconds now) const;
 
 private:
+    /// Requests that are expected to wait before a new one, at the target or for one of this node's connections.
+    double expectedWaiting(uint32_t connections, Milliseconds now) const;
     void block(Milliseconds now);
 
     TargetRegistration entry;
--- a/Libraries/GatewayNode/GatewayServer.cpp
+++ b/Libraries/GatewayNode/GatewayServer.cpp
@@ -58,7 +58,8 @@
                   .headers = this->hooks.headers,
                   .extraAttempts = this->settings.extraAttempts,
                   .maximumRunningBytes = memoryShare(this->settings, runningMemoryDivisor),
-                  .answerBodyLimit = this->settings.answerBodyLimit },
+                  .answerBodyLimit = this->settings.answerBodyLimit,
+                  .mechanisms = this->settings.mechanisms },
           this->createGatewayHooks())
     , answerBudget(ByteBudget::create(
           { memoryShare(this->settings, answerMemoryDivisor), answerAllowance, this->settings.answerBodyLimit }))
@@ -183,7 +184,8 @@
     limits.connectTimeout = targetConnectTimeout;
     limits.unframedBody = HttpMessageReader::UnframedBody::UntilClose;
     limits.connectionStarted = [this] { this->gateway.sharedContext().metrics.count("target_connections"); };
-    limits.maximumNewConnectionGrace = newConnectionGrace;
+    if (this->settings.mechanisms.isEnabled(Mechanism::NewConnectionGrace))
+        limits.maximumNewConnectionGrace = newConnectionGrace;
     limits.budget = this->answerBudget;
     limits.receiveBytes = targetReceiveBytes;
     return limits;
--- a/Libraries/GatewayNode/GatewaySettings.cpp
+++ b/Libraries/GatewayNode/GatewaySettings.cpp
@@ -25,6 +25,20 @@
     limits.window = { 1000 * reader.number("windowSeconds", limits.window.value / 1000, { 1, 3600 }) };
 }
 
+static void readDisabledMechanisms(SettingsReader& reader, GatewaySettings& settings)
+{
+    constexpr auto key = "disabledMechanisms";
+    if (!reader.has(key))
+        return;
+    for (auto const& entry : reader.array(key)) {
+        if (auto const mechanism = parseMechanism(entry.isString() ? entry.asString() : ""))
+            settings.mechanisms.disable(*mechanism);
+        else
+            reader.report(key, "An entry is not the name of a mechanism",
+                "Write names from the list in docs/OPERATIONS.md, such as \"hedging\"");
+    }
+}
+
 GatewaySettings parseGatewaySettings(std::string const& file, std::string_view text)
 {
     auto const document = SettingsText::create(file, text);
@@ -54,6 +68,7 @@
         reader.integer("memoryMb", settings.memoryMegabytes, { minimumMemoryMegabytes, maximumMemoryMegabytes }));
     settings.answerBodyLimit
         = reader.integer("answerBytes", settings.answerBodyLimit, { minimumAnswerBytes, maximumAnswerBytes });
+    readDisabledMechanisms(reader, settings);
     if (reader.has("extraAttempts")) {
         SettingsReader budget(reader.object("extraAttempts"), reader.pathOf("extraAttempts"), faults);
         readExtraAttempts(budget, settings);
--- a/Libraries/GatewayNode/GatewaySettings.h
+++ b/Libraries/GatewayNode/GatewaySettings.h
@@ -37,6 +37,8 @@
     uint32_t memoryMegabytes { 160 };
     /// Largest answer of a target that is forwarded, in bytes.
     size_t answerBodyLimit { 4194304 };
+    /// For experiments only.
+    Mechanisms mechanisms;
 };
 
 /// Reads JSON with comments. Throws SettingsError with file, line, key and remedy.
--- a/Tests/Gateway/GatewayFixture.h
+++ b/Tests/Gateway/GatewayFixture.h
@@ -32,11 +32,12 @@
     bool connectionsAreFree { true };
     Gateway gateway;
 
-    explicit GatewayFixture(ExtraAttemptBudget::Limits budget = { 1, 5, 10000_ms })
+    explicit GatewayFixture(ExtraAttemptBudget::Limits budget = { 1, 5, 10000_ms }, Mechanisms mechanisms = {})
         : gateway({ .failureDomain = "wien-a",
                       .extraAttempts = budget,
                       .maximumRunningRequests = 100,
-                      .maximumRunningBytes = 1000000 },
+                      .maximumRunningBytes = 1000000,
+                      .mechanisms = mechanisms },
             this->hooks())
     {
     }
--- a/Tests/Gateway/TestGatewayRequest.cpp
+++ b/Tests/Gateway/TestGatewayRequest.cpp
@@ -293,6 +293,24 @@
     CHECK(fixture.sent[0]->cancelled);
 }
 
+// Guards against an ablation that measures nothing, because a switched-off mechanism still works.
+TEST(ScatteredRequest, MechanismsCanBeSwitchedOff)
+{
+    Mechanisms mechanisms;
+    mechanisms.disable(Mechanism::Hedging);
+    mechanisms.disable(Mechanism::EarlyPartialAnswers);
+    GatewayFixture reduced({ 1, 5, 10000_ms }, mechanisms);
+    reduced.installScattered(10, 0.8);
+    reduced.request("/search/1");
+    for (size_t index = 0; index < 9; ++index)
+        reduced.reply(index, 200, record('a'));
+    reduced.advance(500_ms);
+    LONGS_EQUAL(10, reduced.sent.size());
+    LONGS_EQUAL(0, reduced.answers.size());
+    reduced.advance(500_ms);
+    LONGS_EQUAL(200, reduced.status());
+}
+
 // Guards against attempts that take a connection from later requests after their own request has been answered.
 TEST(ScatteredRequest, AttemptThatWaitsForAConnectionEndsWithItsRequest)
 {
