Send omitted parts when the answer would fail without them

Change: an omitted part has a state of its own and is sent when the parts that are left no longer suffice.

--- a/Libraries/Gateway/GatewayRequest.cpp
+++ b/Libraries/Gateway/GatewayRequest.cpp
@@ -124,7 +124,7 @@
         this->context.log.line("part-omitted",
             { { "request", this->requestId }, { "service", this->parts[index].service },
                 { "queue_per_slot", Poco::NumberFormatter::format(outlooks[index].queuePerSlot, 2) } });
-        this->failPart(index);
+        this->parts[index].state = Part::State::Omitted;
     }
     return true;
 }
@@ -327,10 +327,10 @@
     part.hedgeAt.reset();
 }
 
-size_t GatewayRequest::succeededParts() const
+size_t GatewayRequest::countParts(Part::State state) const
 {
     return static_cast<size_t>(std::count_if(
-        this->parts.begin(), this->parts.end(), [](Part const& part) { return part.state == Part::State::Succeeded; }));
+        this->parts.begin(), this->parts.end(), [state](Part const& part) { return part.state == state; }));
 }
 
 size_t GatewayRequest::requiredParts() const
@@ -350,12 +350,25 @@
         [](Part const& part) { return part.runs > 0 || part.runningAttempts() > 0; });
 }
 
+void GatewayRequest::sendRequiredOmittedParts()
+{
+    for (size_t index = 0; index < this->parts.size(); ++index) {
+        if (this->isSufficient(this->succeededParts() + this->countParts(Part::State::Waiting)))
+            return;
+        if (this->parts[index].state != Part::State::Omitted)
+            continue;
+        this->parts[index].state = Part::State::Waiting;
+        if (!this->send(index, AttemptReason::First))
+            this->failPart(index);
+    }
+}
+
 void GatewayRequest::answerIfDecided()
 {
     if (this->finished || !this->started)
         return;
-    auto const waiting = static_cast<size_t>(std::count_if(
-        this->parts.begin(), this->parts.end(), [](Part const& part) { return part.state == Part::State::Waiting; }));
+    this->sendRequiredOmittedParts();
+    auto const waiting = this->countParts(Part::State::Waiting);
     auto const succeeded = this->succeededParts();
     if (!this->isSufficient(succeeded + waiting)) {
         this->answerFailure();
--- a/Libraries/Gateway/GatewayRequest.h
+++ b/Libraries/Gateway/GatewayRequest.h
@@ -51,6 +51,8 @@
             Succeeded,
             /// The part has failed and will be missing from the answer.
             Missing,
+            /// The part has not been sent; it is missing from the answer unless other parts fail.
+            Omitted,
         };
         std::string service;
         State state { State::Waiting };
@@ -81,9 +83,11 @@
     GatewayRequest(GatewayContext& context, std::shared_ptr<RouteTable const> table, Route const& route,
         ProxiedRequest&& request, Answered sendAnswer);
 
-    /// Marks the parts that are omitted because the targets of their shards are overloaded as missing. Returns false,
-    /// and answers the request, when too few shards have a usable target.
+    /// Decides which parts are omitted because the targets of their shards are overloaded. Returns false, and answers
+    /// the request, when too few shards have a usable target.
     bool admitParts();
+    /// Sends omitted parts while the answer would fail without them.
+    void sendRequiredOmittedParts();
     void logNoTarget(Part const& part, size_t registered, size_t usable) const;
     Milliseconds now() const { return this->context.hooks.now(); }
     /// Sends the part to another target. Returns false when no target is available or the budget of extra attempts is
@@ -105,7 +109,8 @@
 
     /// Answers as soon as the parts that have arrived or failed determine the result.
     void answerIfDecided();
-    size_t succeededParts() const;
+    size_t succeededParts() const { return this->countParts(Part::State::Succeeded); }
+    size_t countParts(Part::State state) const;
     size_t requiredParts() const;
     /// Whether this number of succeeded parts reaches the minimum coverage.
     bool isSufficient(size_t count) const;
--- a/Tests/Gateway/TestGatewayRequest.cpp
+++ b/Tests/Gateway/TestGatewayRequest.cpp
@@ -311,6 +311,26 @@
     LONGS_EQUAL(200, reduced.status());
 }
 
+// Guards against an answer that fails because a part was omitted although its shard could still answer.
+TEST(ScatteredRequest, OmittedPartIsSentWhenAnotherShardFails)
+{
+    fixture.installScattered(10, 0.9);
+    for (auto const* id : { "a0", "b0" }) {
+        for (int report = 0; report < 20; ++report)
+            fixture.gateway.sharedContext().directory.find(id)->onLoadReport({ 2, 12, 2, {} }, fixture.time);
+    }
+    fixture.request("/search/1");
+    LONGS_EQUAL(9, fixture.sent.size());
+    for (size_t index = 1; index < 9; ++index)
+        fixture.reply(index, 200, record('a'));
+    fixture.replyNotRun(0);
+    fixture.replyNotRun(9);
+    LONGS_EQUAL(11, fixture.sent.size());
+    fixture.reply(10, 200, record('b'));
+    LONGS_EQUAL(200, fixture.status());
+    STRCMP_EQUAL("1", fixture.header("Toucan-Missing-Parts").c_str());
+}
+
 // Guards against attempts that take a connection from later requests after their own request has been answered.
 TEST(ScatteredRequest, AttemptThatWaitsForAConnectionEndsWithItsRequest)
 {
