Choose targets without the queues that they reported

A reported queue counted for up to 250 ms, but empties within about 10 ms, so nodes avoided good targets for reports of the past. Change: the expected latency uses the node's own running requests only. The reported queues still decide which parts are omitted.

--- a/Libraries/Gateway/GatewayTarget.cpp
+++ b/Libraries/Gateway/GatewayTarget.cpp
@@ -33,8 +33,6 @@
 constexpr Milliseconds stallPenalty { 80 };
 /// Cost of a failed attempt in multiples of the usual latency: the retry starts from the beginning.
 constexpr double failurePenaltyRatio = 6;
-/// Age at which a load report no longer counts.
-constexpr Milliseconds loadLifetime { 250 };
 /// Time that a target takes to accept a connection. Including it makes a node with few requests prefer the replicas to
 /// which it is connected, so that the connections of many nodes do not exceed the limit of each target.
 constexpr Milliseconds newConnectionTime { 6 };
@@ -130,8 +128,6 @@
     auto const queue = static_cast<double>(load.waiting) / std::max(load.slots, 1U);
     this->queueEstimate = this->queuePerSlot(now) * (1 - queueWeight) + queue * queueWeight;
     this->queueEstimatedAt = now;
-    this->load = load;
-    this->loadAt = now;
     if (!load.slowdown)
         return false;
     auto const expectedSlowdown = this->reported.expected(now).value_or(1);
@@ -140,18 +136,14 @@
     return higher >= minimumSharedSlowdown && higher >= lower * minimumSharedChange;
 }
 
-double GatewayTarget::expectedWaiting(uint32_t connections, Milliseconds now) const
+double GatewayTarget::expectedWaiting(uint32_t connections) const
 {
     double const slots = std::max(this->entry.slots, 1U);
-    // Requests of this node wait for a slot of the target or for one of this node's connections to it.
+    // Requests of this node wait for a slot of the target or for one of this node's connections to it. The queue that
+    // the target reported with its last answer is not used: it empties within a few milliseconds, long before the next
+    // request of this node.
     double const concurrency = std::min(slots, static_cast<double>(connections));
-    double waiting = std::max(0.0, static_cast<double>(this->sentTimes.size()) + 1 - concurrency) * slots / concurrency;
-    if (this->loadAt && now - *this->loadAt < loadLifetime) {
-        // The weight of the load that the target reported with an answer falls linearly with the report's age.
-        auto const weight = 1 - (now - *this->loadAt).value / loadLifetime.value;
-        waiting = std::max(waiting, weight * (this->load.running + this->load.waiting + 1 - slots));
-    }
-    return waiting;
+    return std::max(0.0, static_cast<double>(this->sentTimes.size()) + 1 - concurrency) * slots / concurrency;
 }
 
 Milliseconds GatewayTarget::expectedLatency(RequestConditions const& conditions, Milliseconds now) const
@@ -164,8 +156,7 @@
     if (this->warmUpEnd > now)
         expected = expected * warmUpFactor;
     if (mechanisms.isEnabled(Mechanism::LoadAwareChoice))
-        expected
-            = expected * (1 + this->expectedWaiting(conditions.connections, now) / std::max(this->entry.slots, 1U));
+        expected = expected * (1 + this->expectedWaiting(conditions.connections) / std::max(this->entry.slots, 1U));
     if (mechanisms.isEnabled(Mechanism::FailureAwareChoice))
         expected += typical * (failurePenaltyRatio * this->failureShare(now));
     if (!this->sentTimes.empty()) {
--- a/Libraries/Gateway/GatewayTarget.h
+++ b/Libraries/Gateway/GatewayTarget.h
@@ -87,8 +87,8 @@
     double failureShare(Milliseconds now) const;
 
 private:
-    /// Requests that are expected to wait before a new one, at the target or for one of this node's connections.
-    double expectedWaiting(uint32_t connections, Milliseconds now) const;
+    /// Requests of this node that wait before a new one, at the target or for one of its connections.
+    double expectedWaiting(uint32_t connections) const;
     void block(Milliseconds now);
 
     TargetRegistration entry;
@@ -108,8 +108,6 @@
     Milliseconds failureEstimatedAt;
     uint32_t consecutiveUnreachable { 0 };
     Milliseconds blockedUntil;
-    ReportedLoad load;
-    std::optional<Milliseconds> loadAt;
     ReportedSlowdown reported;
 };
 
--- a/Libraries/Gateway/Mechanisms.h
+++ b/Libraries/Gateway/Mechanisms.h
@@ -12,7 +12,7 @@
 enum class Mechanism {
     /// A second attempt while the first one may still answer.
     Hedging,
-    /// Choice of targets by the queues that they report and by this node's running requests.
+    /// Choice of targets by this node's running requests.
     LoadAwareChoice,
     /// Choice of targets by their slowdown, reported or observed.
     SlowdownAwareChoice,
