--- a/Libraries/Gateway/ShardOutlook.h
+++ b/Libraries/Gateway/ShardOutlook.h
@@ -19,7 +19,7 @@
     std::optional<Milliseconds> availableAt;
 };
 
-/// Whether a target may receive requests: it is not draining, its address is its own, and it is not blocked.
+/// Whether a target may receive requests: it is not draining or blocked, and no other target has its address.
 bool isUsable(GatewayTarget const& target, Milliseconds now);
 /// Whether a draining target may still receive requests that no other target can take.
 bool isLastResort(GatewayTarget const& target, Milliseconds now);
--- a/Tests/Operator/TestLossReport.cpp
+++ b/Tests/Operator/TestLossReport.cpp
@@ -93,7 +93,7 @@
     report.add("event=answered request=a", "node-1.log:2");
     report.add("I20260102 03:04:05.000000 17 F.cpp:1] event=answered request=\"a", "node-1.log:3");
     report.add("I20261402 03:04:05.000000 17 F.cpp:1] event=answered", "node-1.log:4");
-    report.add(std::string("I20260102 03:04:05.0\0x00", 24), "node-1.log:5");
+    report.add(std::string("I20260102 03:04:05.0") + '\0', "node-1.log:5");
     add("05.000000", "event=hedge request=a service=s1 dropped_lines=41");
     auto const json = report.toJson();
     LONGS_EQUAL(2, json["unread"]["no event"]["lines"].asInt());
