--- a/Libraries/Gateway/PartAdmission.cpp
+++ b/Libraries/Gateway/PartAdmission.cpp
@@ -5,8 +5,8 @@
 
 namespace Toucan {
 
-/// Queues, in waiting requests for each slot, at which the first parts and the largest share of the parts are omitted.
-/// In between, a part waits for about as long as it is processed.
+/// Queues, in waiting requests for each slot, at which the omitted share is 0 and at which it would be 1 without
+/// maximumOmittedShare. In between, a part waits for about as long as it is processed.
 constexpr double firstOmissionQueue = 0.75;
 constexpr double lastAdmissionQueue = 2.25;
 /// Some parts are always sent, so that the end of the overload is noticed.
--- a/Libraries/Gateway/RetryAdvice.cpp
+++ b/Libraries/Gateway/RetryAdvice.cpp
@@ -7,7 +7,8 @@
 /// A shorter wait is not worth another request and its connection.
 constexpr Milliseconds minimumWait { 50 };
 constexpr Milliseconds maximumWait { 1000 };
-/// Share of the caller's time that the wait may take, so that the next request still has time to be served.
+/// Share of the caller's time that the wait may take before the spread is added, so that the next request still has
+/// time to be served.
 constexpr double maximumShareOfTimeLeft = 0.25;
 /// The waits differ by up to this share, so that callers that were refused together do not return together.
 constexpr double spread = 0.3;
