Copy the request id of a refused request

Poco's NameValueCollection::get(name, default) returns a reference to its second argument when the field is missing. Gateway::refuse() kept that reference to a temporary, so a request without an id that was refused was answered and logged from a dead string. On arm64 that ends the process.

A missing package is ruled out: the debugger shows the copy of the dead string in refuse().

--- a/Libraries/Gateway/Gateway.cpp
+++ b/Libraries/Gateway/Gateway.cpp
@@ -105,7 +105,8 @@
     Milliseconds retryAfter, GatewayRequest::Answered const& answered)
 {
     ProxiedAnswer answer;
-    auto const& requestId = request.head.get(this->context.headers.requestId, "");
+    // Copied: get() returns a reference to its second argument when the field is missing.
+    auto const requestId = request.head.get(this->context.headers.requestId, "");
     answer.head.setStatusAndReason(status);
     answer.head.set(this->context.headers.requestId, requestId);
     answer.head.setContentType("text/plain");
