--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,5 +1,5 @@
-"""A field of a request holds an encoded word of RFC 2047: once a note of two paragraphs, sent by a sound caller, and once
-another request."""
+"""A field of a request holds an encoded word of RFC 2047: once a note of two paragraphs, sent by a sound caller, and
+once another request."""
 
 import pathlib
 import socket
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -28,7 +28,7 @@
 
 
 def case(record):
-    """One node, three backends; usual traffic for longer than stable_ms, then a burst in which one backend is replaced."""
+    """One node, three backends; usual traffic for longer than stable_ms, then a burst with a planned replacement."""
     store = Store(record)
     backends = [Backend(store, record, f"i-{name}", "orders", slots=2, queue=12, work_s=WORK_S).register()
                 for name in ("a1", "b2", "c3")]
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -24,7 +24,8 @@
     store = Store(record)
     store.stale_age = lambda page: STALE_AGE_S[min(page, 1)]
     others = [Backend(store, record, f"i-a{number:02}", "catalogue").register() for number in range(OTHERS)]
-    backends = [Backend(store, record, f"i-z{number}", "orders", slots=8, work_s=0.25).register() for number in range(3)]
+    backends = [Backend(store, record, f"i-z{number}", "orders", slots=2, work_s=0.15).register()
+                for number in range(3)]
     leaving = backends[1]
     store.put("op/config", config(5, [route("r-order", "/order/", "orders", kind="non_idempotent"),
                                       route("r-find", "/find/", "catalogue")], {"orders": 100, "catalogue": 100}))
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -1,4 +1,4 @@
-"""Stand-ins for the platform's store, for backends and for callers, and gateway processes as the deploy file starts them.
+"""Stand-ins for the platform's store, backends and callers, and gateway processes as the deploy file starts them.
 
 Everything listens on loopback addresses. Each case imports this module, records what it sees with a Record, and stops
 what it has started.
@@ -280,7 +280,7 @@
             return self.store.put(f"servers/{self.identity}", self.entry())
 
     def register(self):
-        """Writes the entry. A heartbeat that changes no more than `seq` does not change the entry, so it is left out."""
+        """Writes the entry. Heartbeats are left out, as the entry changes only "when more than `seq` changes"."""
         self.write_entry()
         return self
 
@@ -377,7 +377,7 @@
 
 
 def render(template, values):
-    """Fills in a template as DEPLOY.md, "Settings of a process", says: values, JSON values and sections of one value."""
+    """Fills in a template as DEPLOY.md says: values, JSON values and sections of one value."""
 
     def look_up(name):
         value = values
@@ -465,8 +465,8 @@
         return (self.folder / "log.txt").read_text(encoding="utf-8", errors="replace")
 
     def supervise(self, seconds):
-        """Restarts the process after a short delay whenever it ends by itself, as the platform does, for the given time.
-        Returns the list of the exit codes, which grows meanwhile."""
+        """Restarts the process after a short delay whenever it ends by itself, as the platform does, for the given
+        time. Returns the list of the exit codes, which grows meanwhile."""
         ends, until = [], time.monotonic() + seconds
 
         def watch():
