Read header fields without decoding them

Callers saw: a field with an encoded word (RFC 2047) was forwarded decoded.

Cause: the reader checked the raw header, then Poco::Net::MessageHeader::read() read it again and decoded the encoded words; the decoded value was forwarded unchecked. The reader now keeps the bytes that it has checked and splits the start line itself. Ruled out: control characters in the input, and the writer.

--- a/Libraries/Net/HttpMessageReader.cpp
+++ b/Libraries/Net/HttpMessageReader.cpp
@@ -1,7 +1,5 @@
 #include "Net/HttpMessageReader.h"
 
-#include <Poco/Exception.h>
-#include <Poco/MemoryStream.h>
 #include <Poco/String.h>
 #include <algorithm>
 #include <charconv>
@@ -11,7 +9,7 @@
 
 constexpr std::string_view lineEnd = "\r\n";
 constexpr std::string_view headerEnd = "\r\n\r\n";
-/// POCO's MessageHeader refuses longer names and values, and more fields.
+/// Limits on one header, so that the linear searches in POCO's MessageHeader stay short.
 constexpr size_t maximumFieldNameBytes = 256;
 constexpr size_t maximumFieldValueBytes = 8192;
 constexpr size_t maximumFields = 100;
@@ -43,9 +41,19 @@
     });
 }
 
-/// Checks RFC 9112, section 5: no white space before the colon and no line folding, which receivers interpret
-/// differently.
-static HttpMessageReader::Status checkFields(std::string_view fields)
+static std::string_view trimmed(std::string_view text)
+{
+    constexpr std::string_view whiteSpace = " \t";
+    auto const first = text.find_first_not_of(whiteSpace);
+    if (first == std::string_view::npos)
+        return {};
+    return text.substr(first, text.find_last_not_of(whiteSpace) - first + 1);
+}
+
+/// Reads field lines as RFC 9112, section 5, defines them: no white space before the colon and no line folding, which
+/// receivers interpret differently. POCO's MessageHeader::read() is not used because it decodes encoded words (RFC
+/// 2047), and a decoded value can hold line breaks that end the header when it is forwarded.
+static HttpMessageReader::Status readFields(std::string_view fields, Poco::Net::MessageHeader& header)
 {
     using Status = HttpMessageReader::Status;
     size_t count = 0;
@@ -60,6 +68,7 @@
             return Status::Malformed;
         if (++count > maximumFields || colon > maximumFieldNameBytes || line.size() - colon > maximumFieldValueBytes)
             return Status::HeaderTooLarge;
+        header.add(std::string(line.substr(0, colon)), std::string(trimmed(line.substr(colon + 1))));
     }
     return Status::Complete;
 }
@@ -179,31 +188,24 @@
         return Status::HeaderTooLarge;
     if (end == std::string_view::npos)
         return Status::NeedMore;
-    std::string const text(input.substr(0, size));
+    auto const text = input.substr(0, size);
     input.remove_prefix(size);
     if (auto const status = this->parseHead(text); status != Status::Complete)
         return status;
     return this->startBody();
 }
 
-HttpMessageReader::Status HttpMessageReader::parseHead(std::string const& text)
+HttpMessageReader::Status HttpMessageReader::parseHead(std::string_view text)
 {
-    auto const firstLineEnd = text.find(lineEnd);
-    if (hasControlCharacter(std::string_view(text).substr(0, firstLineEnd)))
+    auto const startLine = text.substr(0, text.find(lineEnd));
+    if (hasControlCharacter(startLine))
         return Status::Malformed;
-    if (auto const status = checkFields(std::string_view(text).substr(firstLineEnd)); status != Status::Complete)
-        return status;
-    Poco::MemoryInputStream stream(text.data(), static_cast<std::streamsize>(text.size()));
-    try {
-        if (this->kind == Kind::Request)
-            this->requestHead.read(stream);
-        else
-            this->responseHead.read(stream);
-    } catch (Poco::Exception const&) {
-        return Status::Malformed;
-    }
-    if (this->kind == Kind::Request && (!isToken(this->requestHead.getMethod()) || this->requestHead.getURI().empty()))
+    bool const valid
+        = this->kind == Kind::Request ? this->parseRequestLine(startLine) : this->parseStatusLine(startLine);
+    if (!valid)
         return Status::Malformed;
+    if (auto const status = readFields(text.substr(startLine.size()), this->head()); status != Status::Complete)
+        return status;
     auto const& version = this->head().getVersion();
     if (!version.starts_with("HTTP/"))
         return Status::Malformed;
@@ -214,6 +216,40 @@
     return Status::Complete;
 }
 
+/// RFC 9112, section 3: method, target and version, separated by single spaces.
+bool HttpMessageReader::parseRequestLine(std::string_view line)
+{
+    auto const methodEnd = line.find(' ');
+    auto const targetEnd = line.rfind(' ');
+    if (methodEnd == std::string_view::npos || targetEnd == methodEnd)
+        return false;
+    auto const method = line.substr(0, methodEnd);
+    auto const target = line.substr(methodEnd + 1, targetEnd - methodEnd - 1);
+    if (!isToken(method) || target.empty() || target.find_first_of(" \t") != std::string_view::npos)
+        return false;
+    this->requestHead.setMethod(std::string(method));
+    this->requestHead.setURI(std::string(target));
+    this->requestHead.setVersion(std::string(line.substr(targetEnd + 1)));
+    return true;
+}
+
+/// RFC 9112, section 4: version, status code of three digits, and a reason phrase that may be missing.
+bool HttpMessageReader::parseStatusLine(std::string_view line)
+{
+    constexpr size_t codeDigits = 3;
+    auto const versionEnd = line.find(' ');
+    if (versionEnd == std::string_view::npos)
+        return false;
+    auto const rest = line.substr(versionEnd + 1);
+    auto const code = parseNumber(rest.substr(0, codeDigits), 10);
+    if (!code || *code < 100 || (rest.size() > codeDigits && rest[codeDigits] != ' '))
+        return false;
+    this->responseHead.setVersion(std::string(line.substr(0, versionEnd)));
+    this->responseHead.setStatusAndReason(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(*code),
+        std::string(rest.size() > codeDigits ? rest.substr(codeDigits + 1) : std::string_view {}));
+    return true;
+}
+
 HttpMessageReader::Status HttpMessageReader::startBody()
 {
     auto const& fields = this->head();
--- a/Libraries/Net/HttpMessageReader.h
+++ b/Libraries/Net/HttpMessageReader.h
@@ -75,7 +75,9 @@
 
     Status readStages(std::string_view& input);
     Status readHeader(std::string_view& input);
-    Status parseHead(std::string const& text);
+    Status parseHead(std::string_view text);
+    bool parseRequestLine(std::string_view line);
+    bool parseStatusLine(std::string_view line);
     Status startBody();
     Status readStage(std::string_view& input);
     Status readBody(std::string_view& input, Stage next);
--- a/Tests/Net/TestHttpMessageReader.cpp
+++ b/Tests/Net/TestHttpMessageReader.cpp
@@ -78,3 +78,41 @@
     STRCMP_EQUAL(std::string(chunks.size() / 6, 'x').c_str(), reader.body().c_str());
     STRCMP_EQUAL("rest", input.c_str());
 }
+
+// Guards against an encoded word (RFC 2047) that is decoded: its line breaks would end the header of the forwarded
+// request, so that a target runs it without its body or runs a second request from inside the field.
+TEST(HttpMessageReader, KeepsEncodedWordsAsTheyAre)
+{
+    std::string const word = "=?utf-8?Q?a=0D=0AContent=2DLength=3A=200=0D=0A=0D=0APOST=20=2Fcancel=20HTTP=2F1=2E1?=";
+    std::string const encoded = "=?utf-8?B?YQ0KWC1PdGhlcjogMQ==?= and \"text\" after it";
+    HttpMessageReader request(HttpMessageReader::Kind::Request, {});
+    std::string input
+        = "GET /read/1?q=" + word + " HTTP/1.1\r\nHost: a\r\nX-Note: " + word + "\r\nX-Note:\t" + encoded + " \r\n\r\n";
+    CHECK(request.read(input) == HttpMessageReader::Status::Complete);
+    CHECK_EQUAL("/read/1?q=" + word, request.request().getURI());
+    auto field = request.request().find("X-Note");
+    CHECK_EQUAL(word, field->second);
+    CHECK_EQUAL(encoded, (++field)->second);
+    HttpMessageReader response(HttpMessageReader::Kind::Response, {});
+    input = "HTTP/1.1 200 " + word + "\r\nContent-Length: 0\r\nX-Note: " + word + "\r\n\r\n";
+    CHECK(response.read(input) == HttpMessageReader::Status::Complete);
+    CHECK_EQUAL(word, response.response().get("X-Note"));
+    CHECK_EQUAL(word, response.response().getReason());
+}
+
+// Guards against start lines that two receivers could split differently.
+TEST(HttpMessageReader, RefusesAmbiguousStartLines)
+{
+    for (auto const* const line : { "GET /a b HTTP/1.1", "GET  /a HTTP/1.1", "GET\t/a\tHTTP/1.1", "GET /a HTTP/1.1 ",
+             "GET /a HTTP/1.1 x", " GET /a HTTP/1.1", "GET /a", "GET", "G(T /a HTTP/1.1" }) {
+        HttpMessageReader reader(HttpMessageReader::Kind::Request, {});
+        auto input = std::string(line) + "\r\nHost: a\r\n\r\n";
+        CHECK_TEXT(reader.read(input) == HttpMessageReader::Status::Malformed, line);
+    }
+    for (auto const* const line : { "HTTP/1.1  200 OK", "HTTP/1.1 20 OK", "HTTP/1.1 2000 OK", "HTTP/1.1 -20 OK",
+             "HTTP/1.1 099 OK", "HTTP/1.1", "HTTP/1.1 ", " HTTP/1.1 200 OK" }) {
+        HttpMessageReader reader(HttpMessageReader::Kind::Response, {});
+        auto input = std::string(line) + "\r\nContent-Length: 0\r\n\r\n";
+        CHECK_TEXT(reader.read(input) == HttpMessageReader::Status::Malformed, line);
+    }
+}
