Withdraw requests that wait to be sent to a leaving target

Cause: the target is chosen once, and the connection queue knew addresses only, so no change of a registration reached a waiting request.

An exchange now carries maySend. The pool asks it just before it writes the request, on an established connection only, and for all unsent exchanges of an address when a target there drains, moves, restarts or is removed. A withdrawn attempt was not sent, so the request goes to another target without an extra attempt.

--- a/Libraries/Gateway/AttemptOutcome.cpp
+++ b/Libraries/Gateway/AttemptOutcome.cpp
@@ -37,6 +37,8 @@
         return "not-sent";
     case AttemptReply::Transport::Rejected:
         return "rejected";
+    case AttemptReply::Transport::Withdrawn:
+        return "withdrawn";
     case AttemptReply::Transport::TimedOut:
         return "timed-out";
     case AttemptReply::Transport::Broken:
@@ -50,6 +52,7 @@
     switch (reply.transport) {
     case AttemptReply::Transport::NotSent:
     case AttemptReply::Transport::Rejected:
+    case AttemptReply::Transport::Withdrawn:
         return AttemptOutcome::NotSent;
     case AttemptReply::Transport::Broken:
     case AttemptReply::Transport::TimedOut:
--- a/Libraries/Gateway/Gateway.cpp
+++ b/Libraries/Gateway/Gateway.cpp
@@ -31,13 +31,15 @@
     , context(createContext(this->options, std::move(hooks)))
     , startedAt(this->context.hooks.now())
 {
-    this->context.directory = TargetDirectory(
-        this->options.failureDomain, { [this](std::string_view event, TargetRegistration const& target) {
-            this->context.log.line(event,
-                { { "target", target.id }, { "service", target.service }, { "address", target.address },
-                    { "state", target.state == TargetRegistration::State::Draining ? "draining" : "serving" },
-                    { "incarnation", std::to_string(target.incarnation) } });
-        } });
+    TargetDirectory::Hooks directoryHooks;
+    directoryHooks.changed = [this](std::string_view event, TargetRegistration const& target) {
+        this->context.log.line(event,
+            { { "target", target.id }, { "service", target.service }, { "address", target.address },
+                { "state", target.state == TargetRegistration::State::Draining ? "draining" : "serving" },
+                { "incarnation", std::to_string(target.incarnation) } });
+    };
+    directoryHooks.withdrawn = this->context.hooks.withdrawUnsent;
+    this->context.directory = TargetDirectory(this->options.failureDomain, std::move(directoryHooks));
 }
 
 void Gateway::install(RoutingConfiguration configuration)
--- a/Libraries/Gateway/GatewayContext.h
+++ b/Libraries/Gateway/GatewayContext.h
@@ -26,6 +26,9 @@
     std::function<uint32_t(uint32_t limit)> connectionShare;
     /// Whether a request to an address needs no new connection; may be empty.
     std::function<bool(std::string const& address)> hasIdleConnection;
+    /// Ends with Withdrawn the attempts at an address that still wait to be sent and whose maySend declines; their
+    /// `done` is not called from within the call. May be empty.
+    std::function<void(std::string const& address)> withdrawUnsent;
     /// Closes the idle connections to an address after one of its connections stopped responding.
     std::function<void(std::string const& address)> closeIdle;
     /// Sends this node's observations of targets to the other nodes; may be empty.
--- a/Libraries/Gateway/GatewayMessages.h
+++ b/Libraries/Gateway/GatewayMessages.h
@@ -68,7 +68,11 @@
     /// Whether the request must use a new connection: the target may close an idle one while the request is in transit,
     /// which would leave the outcome unknown.
     bool needsFreshConnection { false };
-    /// Called when a connection is assigned to the request; may update the remaining time after a wait for it.
+    /// Whether the request may wait at this node when no connection to the target is free.
+    bool mayWait { true };
+    /// Whether the target may still receive the request; asked just before the request is sent.
+    std::function<bool()> maySend;
+    /// Called just before the request is sent; may update the remaining time after a wait for a connection.
     std::function<void(Poco::Net::HTTPRequest&)> beforeSending;
     /// Whether a response belongs to this attempt and not to an earlier one on the same connection.
     std::function<bool(Poco::Net::HTTPResponse const&, bool firstOnConnection)> isOwnResponse;
@@ -82,6 +86,8 @@
         NotSent,
         /// No byte of the request was sent, because the target accepts no more connections.
         Rejected,
+        /// No byte of the request was sent, because AttemptMessage::maySend declined.
+        Withdrawn,
         /// The connection ended, or the response was not valid, after bytes were sent.
         Broken,
         /// No complete response arrived in time after bytes were sent.
--- a/Libraries/Gateway/GatewayRequest.cpp
+++ b/Libraries/Gateway/GatewayRequest.cpp
@@ -188,8 +188,14 @@
     message.isOwnResponse = [names = &this->context.headers, id = this->requestId](HTTPResponse const& head,
                                 bool first) { return answersRequest(head, id, first, *names); };
     auto const attemptIndex = part.attempts.size();
+    bool const asLastResort = target->isDraining();
+    // A draining target is used only while its fallback time lasts, so the request doesn't wait for a connection to it.
+    message.mayWait = !asLastResort;
+    message.maySend = [now = this->context.hooks.now, target, address = message.address, asLastResort] {
+        return mayReceiveAssigned(*target, asLastResort, now()) && target->registration().address == address;
+    };
     message.beforeSending = [self = this->shared_from_this(), partIndex, attemptIndex](Poco::Net::HTTPRequest& head) {
-        self->parts[partIndex].attempts[attemptIndex].onConnection = true;
+        self->parts[partIndex].attempts[attemptIndex].sent = true;
         self->setRemainingTime(head);
     };
     target->onSent(now);
@@ -219,6 +225,8 @@
         result = Result::Succeeded;
     else if (mayBlock && reply.transport == AttemptReply::Transport::Rejected)
         result = Result::Full;
+    else if (reply.transport == AttemptReply::Transport::Withdrawn)
+        result = Result::Abandoned;
     else if (mayBlock && outcome == AttemptOutcome::NotSent)
         result = Result::Unreachable;
     else if (outcome == AttemptOutcome::NotRun)
@@ -226,8 +234,11 @@
     attempt.target->onEnded(result, attempt.sentAt, this->context.latencies.typical(this->route, now), now);
     if (outcome == AttemptOutcome::Success)
         this->context.latencies.add(this->route, now - attempt.sentAt, now);
-    if (outcome == AttemptOutcome::WrongTarget)
+    if (outcome == AttemptOutcome::WrongTarget) {
         attempt.target->onReplaced();
+        if (this->context.hooks.withdrawUnsent)
+            this->context.hooks.withdrawUnsent(attempt.target->registration().address);
+    }
     if (reply.transport == AttemptReply::Transport::TimedOut)
         this->context.hooks.closeIdle(attempt.target->registration().address);
     if (reply.transport == AttemptReply::Transport::Answered) {
@@ -575,7 +586,7 @@
         return;
     for (auto& part : this->parts) {
         for (auto& attempt : part.attempts) {
-            if (attempt.running && !attempt.onConnection)
+            if (attempt.running && !attempt.sent)
                 this->cancelAttempt(attempt, GatewayTarget::Result::Abandoned);
         }
     }
--- a/Libraries/Gateway/GatewayRequest.h
+++ b/Libraries/Gateway/GatewayRequest.h
@@ -40,8 +40,8 @@
         Milliseconds sentAt;
         Canceller cancel;
         bool running { true };
-        /// Whether a connection has taken the request; until then the attempt waits for one at this node.
-        bool onConnection { false };
+        /// Whether the request was written to a connection; until then the attempt waits at this node.
+        bool sent { false };
     };
     struct Part {
         enum class State {
@@ -128,7 +128,7 @@
     /// Ends the request; its attempts may still run.
     void finish();
     void cancelAttempts();
-    /// Cancels the attempts that still wait for a connection, so that they don't take it from requests that can still
+    /// Cancels the attempts that have not been sent, so that they don't take a connection from requests that can still
     /// be answered.
     void cancelWaitingAttempts();
     void cancelAttempt(Attempt& attempt, GatewayTarget::Result result);
--- a/Libraries/Gateway/GatewayTarget.h
+++ b/Libraries/Gateway/GatewayTarget.h
@@ -68,11 +68,14 @@
     /// Called when another target answered at the address; no request is sent until the registration has another
     /// address or the target has restarted.
     void onReplaced() { this->replaced = true; }
+    /// Called when the registration was removed or replaced by one of another incarnation.
+    void onRemoved() { this->removed = true; }
 
     bool isDraining() const { return this->entry.state == TargetRegistration::State::Draining; }
     /// Time at which this node received the present state of the target, also while it is not draining.
     Milliseconds drainingSince() const { return this->drainStart; }
     bool isReplaced() const { return this->replaced; }
+    bool isRemoved() const { return this->removed; }
     bool isBlocked(Milliseconds now) const { return this->blockedUntil > now; }
     Milliseconds blockEnd() const { return this->blockedUntil; }
     size_t running() const { return this->sentTimes.size(); }
@@ -97,6 +100,7 @@
     Milliseconds warmUpEnd;
     Milliseconds drainStart;
     bool replaced { false };
+    bool removed { false };
     /// Times at which the running requests were sent, oldest first.
     std::vector<Milliseconds> sentTimes;
     double slowdownEstimate { 1 };
--- a/Libraries/Gateway/ShardOutlook.cpp
+++ b/Libraries/Gateway/ShardOutlook.cpp
@@ -14,10 +14,21 @@
     return !target.isReplaced() && !target.isBlocked(now) && !target.isDraining();
 }
 
+static bool isWithinDrainingFallback(GatewayTarget const& target, Milliseconds now)
+{
+    return target.isDraining() && now - target.drainingSince() < drainingFallbackTime;
+}
+
 bool isLastResort(GatewayTarget const& target, Milliseconds now)
 {
-    return target.isDraining() && !target.isReplaced() && !target.isBlocked(now)
-        && now - target.drainingSince() < drainingFallbackTime;
+    return isWithinDrainingFallback(target, now) && !target.isReplaced() && !target.isBlocked(now);
+}
+
+bool mayReceiveAssigned(GatewayTarget const& target, bool asLastResort, Milliseconds now)
+{
+    if (target.isRemoved() || target.isReplaced())
+        return false;
+    return !target.isDraining() || (asLastResort && isWithinDrainingFallback(target, now));
 }
 
 ShardOutlook outlookOf(std::span<TargetDirectory::TargetPointer const> targets, Milliseconds now)
--- a/Libraries/Gateway/ShardOutlook.h
+++ b/Libraries/Gateway/ShardOutlook.h
@@ -23,6 +23,9 @@
 bool isUsable(GatewayTarget const& target, Milliseconds now);
 /// Whether a draining target may still receive requests that no other target can take.
 bool isLastResort(GatewayTarget const& target, Milliseconds now);
+/// Whether a request that was assigned to the target, as a last resort or not, and has not been sent yet may still be
+/// sent to it. A blocked target may receive it: the attempt shows whether it can be reached again.
+bool mayReceiveAssigned(GatewayTarget const& target, bool asLastResort, Milliseconds now);
 ShardOutlook outlookOf(std::span<TargetDirectory::TargetPointer const> targets, Milliseconds now);
 
 } // namespace Toucan
--- a/Libraries/Gateway/TargetDirectory.cpp
+++ b/Libraries/Gateway/TargetDirectory.cpp
@@ -27,8 +27,11 @@
             return;
         }
         if (known.service == registration.service && known.incarnation == registration.incarnation) {
+            auto const formerAddress = known.address;
             found->second->update(std::move(registration), now);
             this->hooks.changed("target-changed", found->second->registration());
+            if (found->second->isDraining() || found->second->registration().address != formerAddress)
+                this->withdraw(formerAddress);
             return;
         }
         // Observations of an earlier incarnation do not apply to this one.
@@ -42,6 +45,12 @@
     this->hooks.changed("target-added", target->registration());
 }
 
+void TargetDirectory::withdraw(std::string const& address) const
+{
+    if (this->hooks.withdrawn)
+        this->hooks.withdrawn(address);
+}
+
 void TargetDirectory::erase(std::string const& id)
 {
     this->deferred.erase(id);
@@ -53,6 +62,8 @@
     std::erase(this->targetsByService[target->registration().service], target);
     std::erase_if(this->targetsByHash, [&target](auto const& entry) { return entry.second == target; });
     this->hooks.changed("target-removed", target->registration());
+    target->onRemoved();
+    this->withdraw(target->registration().address);
 }
 
 void TargetDirectory::remove(std::string const& id, Removal removal, Milliseconds keepUntil)
--- a/Libraries/Gateway/TargetDirectory.h
+++ b/Libraries/Gateway/TargetDirectory.h
@@ -25,6 +25,9 @@
     struct Hooks {
         /// Called for the log: for each change of the directory, and for each outdated registration that is ignored.
         std::function<void(std::string_view event, TargetRegistration const&)> changed;
+        /// Called when a target at the address has begun to drain, moved away or been removed, so that requests that
+        /// wait to be sent to it can be withdrawn. May be empty.
+        std::function<void(std::string const& address)> withdrawn {};
     };
 
     TargetDirectory(std::string failureDomain, Hooks hooks);
@@ -47,6 +50,7 @@
 
 private:
     void erase(std::string const& id);
+    void withdraw(std::string const& address) const;
 
     std::string failureDomain;
     Hooks hooks;
--- a/Libraries/GatewayNode/GatewayServer.cpp
+++ b/Libraries/GatewayNode/GatewayServer.cpp
@@ -109,6 +109,7 @@
         = [this](std::string const& address) { return this->pool.hasIdleConnection(address); };
     gatewayHooks.now = [] { return Clock::now(); };
     gatewayHooks.closeIdle = [this](std::string const& address) { this->pool.closeIdle(address); };
+    gatewayHooks.withdrawUnsent = [this](std::string const& address) { this->pool.withdrawUnsent(address); };
     gatewayHooks.shareObservations
         = [this](std::vector<TargetObservation>&& observations) { this->shareObservations(observations); };
     gatewayHooks.random = [this] { return std::uniform_real_distribution<double>(0, 1)(this->randomEngine); };
@@ -244,6 +245,8 @@
         return AttemptReply::Transport::NotSent;
     case HttpTransportStatus::Rejected:
         return AttemptReply::Transport::Rejected;
+    case HttpTransportStatus::Withdrawn:
+        return AttemptReply::Transport::Withdrawn;
     case HttpTransportStatus::TimedOut:
         return AttemptReply::Transport::TimedOut;
     case HttpTransportStatus::Broken:
@@ -261,6 +264,8 @@
     exchange.bodyLimit = message.bodyLimit;
     exchange.connection
         = message.needsFreshConnection ? HttpExchange::Connection::Fresh : HttpExchange::Connection::Any;
+    exchange.whenBusy = message.mayWait ? HttpExchange::WhenBusy::Wait : HttpExchange::WhenBusy::Drop;
+    exchange.maySend = std::move(message.maySend);
     exchange.beforeSending = std::move(message.beforeSending);
     exchange.isOwnResponse = std::move(message.isOwnResponse);
     exchange.done = [done = std::move(done)](HttpClientResult&& result) {
--- a/Libraries/Net/HttpClientPool.cpp
+++ b/Libraries/Net/HttpClientPool.cpp
@@ -32,6 +32,8 @@
         return "no connection";
     case HttpTransportStatus::Rejected:
         return "connection reset at once";
+    case HttpTransportStatus::Withdrawn:
+        return "withdrawn before it was sent";
     case HttpTransportStatus::Broken:
         break;
     }
@@ -61,6 +63,8 @@
         bool repeated { false };
         /// Whether bytes of the request were sent on any connection.
         bool sent { false };
+
+        bool maySend() const { return !this->exchange.maySend || this->exchange.maySend(); }
     };
     using PendingPointer = std::shared_ptr<PendingExchange>;
 
@@ -87,6 +91,8 @@
             std::function<void(Pointer const&, HttpClientResult&&, bool reusable)> answered;
             /// The connection was closed before its exchange was answered. `fault` as in HttpClientResult.
             std::function<void(Pointer const&, HttpTransportStatus, std::string const& fault)> failed;
+            /// The exchange may not be sent any more; nothing of it was written to this connection.
+            std::function<void(Pointer const&)> declined;
         };
 
         ClientConnection(EventLoop& loop, HttpClientPool::Limits const& limits, Hooks hooks)
@@ -101,24 +107,30 @@
         {
             SocketChannel::Hooks channelHooks;
             auto const self = this->shared_from_this();
+            channelHooks.connected = [self] { self->sendWhenReady(); };
             channelHooks.received = [self] { self->onReceived(); };
             channelHooks.ended = [self](SocketChannel::End end) { self->onEnded(end); };
             this->channel = SocketChannel::connect(this->loop, address, std::move(channelHooks));
             this->channel->setReceiveBytes(this->limits.receiveBytes);
         }
 
-        /// Assigns the exchange to this connection now and sends its request after the delay.
+        /// Assigns the exchange to this connection now and sends its request when the connection is established and the
+        /// delay has passed. Until then nothing is written, so that the exchange can be withdrawn.
         void start(PendingPointer next, std::string const& endpoint, Milliseconds delay = {})
         {
             this->pending = std::move(next);
+            this->endpoint = endpoint;
+            this->written = false;
+            this->delayed = delay > Milliseconds {};
             this->skipped = 0;
             this->resetReader();
             this->sentBefore = this->channel->sent();
-            if (delay > Milliseconds {})
-                this->graceTimer = this->loop.schedule(
-                    Clock::now() + delay, [self = this->shared_from_this(), endpoint] { self->sendRequest(endpoint); });
-            else
-                this->sendRequest(endpoint);
+            if (this->delayed)
+                this->graceTimer = this->loop.schedule(Clock::now() + delay, [self = this->shared_from_this()] {
+                    self->delayed = false;
+                    self->sendWhenReady();
+                });
+            this->sendWhenReady();
         }
 
         /// Closes without calling the hooks.
@@ -134,6 +146,8 @@
         bool hasServed() const { return this->served; }
         bool hasSent() const { return this->channel->sent() > this->sentBefore; }
         bool hasReceived() const { return this->receivedAny; }
+        /// Whether the request of the current exchange was given to the channel.
+        bool hasWritten() const { return this->written; }
         /// The server's idle timeout, if its Keep-Alive header states one.
         std::optional<Milliseconds> idleTimeout() const { return this->serverIdleTimeout; }
 
@@ -143,12 +157,20 @@
         EventLoop::Timer graceTimer;
 
     private:
-        void sendRequest(std::string const& endpoint)
+        void sendWhenReady()
         {
+            if (!this->pending || this->written || this->delayed || !this->channel->isConnected())
+                return;
+            if (!this->pending->maySend()) {
+                this->hooks.declined(this->shared_from_this());
+                return;
+            }
+            this->written = true;
             auto& exchange = this->pending->exchange;
             if (exchange.beforeSending)
                 exchange.beforeSending(exchange.head);
-            this->channel->write(writeRequest(exchange.head, endpoint, exchange.body ? exchange.body->size() : 0));
+            this->channel->write(
+                writeRequest(exchange.head, this->endpoint, exchange.body ? exchange.body->size() : 0));
             if (exchange.body)
                 this->channel->write(exchange.body);
         }
@@ -252,6 +274,10 @@
         HttpMessageReader reader;
         std::shared_ptr<ByteBudget::Holder> memory;
         PendingPointer pending;
+        std::string endpoint;
+        /// Whether the request waits for the end of the delay after the connection was opened.
+        bool delayed { false };
+        bool written { false };
         uint32_t skipped { 0 };
         /// Bytes that were sent on the connection before the current exchange.
         uint64_t sentBefore { 0 };
@@ -305,6 +331,17 @@
         }
     }
 
+    void withdrawUnsent()
+    {
+        auto const self = this->shared_from_this();
+        for (auto const& connection : std::vector<Pointer>(this->connections)) {
+            if (connection->current() && !connection->hasWritten() && !connection->current()->maySend())
+                this->onDeclined(connection);
+        }
+        this->withdrawWaiting();
+        this->startWaitingExchanges();
+    }
+
     void closeIdle()
     {
         while (!this->idle.empty())
@@ -377,6 +414,7 @@
         hooks.failed = [this](Pointer const& connection, HttpTransportStatus transport, std::string const& fault) {
             this->onFailed(connection, transport, fault);
         };
+        hooks.declined = [this](Pointer const& connection) { this->onDeclined(connection); };
         auto const connection = std::make_shared<ClientConnection>(this->loop, this->limits, std::move(hooks));
         try {
             connection->connect(Poco::Net::SocketAddress(this->name));
@@ -405,6 +443,28 @@
         this->startWaitingExchanges();
     }
 
+    void onDeclined(Pointer const& connection)
+    {
+        auto const pending = connection->takeCurrent();
+        this->remove(connection);
+        this->withdraw(pending);
+    }
+
+    void withdraw(PendingPointer const& pending)
+    {
+        this->finishLater(pending, pending->sent ? HttpTransportStatus::Broken : HttpTransportStatus::Withdrawn);
+    }
+
+    void withdrawWaiting()
+    {
+        std::erase_if(this->waiting, [this](PendingPointer const& pending) {
+            bool const declined = !pending->maySend();
+            if (declined)
+                this->withdraw(pending);
+            return declined;
+        });
+    }
+
     void onFailed(Pointer const& connection, HttpTransportStatus transport, std::string const& fault = {})
     {
         auto const self = this->shared_from_this();
@@ -526,6 +586,7 @@
 
     void startWaitingExchanges()
     {
+        this->withdrawWaiting();
         while (true) {
             // An expired exchange is ended by its timer; sending it would only cost the server work.
             auto const next = std::find_if(this->waiting.begin(), this->waiting.end(),
@@ -577,6 +638,12 @@
         found->second->cancel(handle);
 }
 
+void HttpClientPool::withdrawUnsent(std::string const& endpoint)
+{
+    if (auto const found = this->endpoints.find(endpoint); found != this->endpoints.end())
+        found->second->withdrawUnsent();
+}
+
 void HttpClientPool::closeIdle(std::string const& endpoint)
 {
     if (auto const found = this->endpoints.find(endpoint); found != this->endpoints.end())
--- a/Libraries/Net/HttpClientPool.h
+++ b/Libraries/Net/HttpClientPool.h
@@ -32,6 +32,8 @@
     TimedOut,
     /// Nothing was sent: no connection was free and the exchange could not wait, or the connection limit became 0.
     NoConnection,
+    /// Nothing was sent, because HttpExchange::maySend declined.
+    Withdrawn,
 };
 
 struct HttpClientResult {
@@ -72,6 +74,9 @@
     Milliseconds timeout;
     /// Largest response body in bytes; the pool's limit applies when 0.
     size_t bodyLimit { 0 };
+    /// Whether the request may still be sent. Called just before it is written to an established connection, and by
+    /// withdrawUnsent(). When not set, it always may.
+    std::function<bool()> maySend;
     /// Called just before the request is written to a connection; may change its header fields.
     std::function<void(Poco::Net::HTTPRequest&)> beforeSending;
     /// Whether a response answers this exchange; other responses are discarded and the next one is awaited.
@@ -119,6 +124,9 @@
     HttpExchangeHandle send(std::string const& endpoint, uint32_t connections, HttpExchange&& exchange);
     /// Ends the exchange without calling `done` and closes its connection, so that the server can stop processing it.
     void cancel(std::string const& endpoint, HttpExchangeHandle const& handle);
+    /// Ends with Withdrawn the exchanges of which nothing was sent and whose maySend declines. An exchange of which
+    /// bytes were sent on an earlier connection ends with Broken.
+    void withdrawUnsent(std::string const& endpoint);
     /// Closes all idle connections, for example after one of them stopped responding.
     void closeIdle(std::string const& endpoint);
     /// Exchanges that are running or waiting for a connection.
--- a/Libraries/Node/TargetClient.cpp
+++ b/Libraries/Node/TargetClient.cpp
@@ -53,6 +53,7 @@
     case HttpTransportStatus::ConnectFailed:
     case HttpTransportStatus::Rejected:
     case HttpTransportStatus::NoConnection:
+    case HttpTransportStatus::Withdrawn:
         return TargetAnswer::Transport::ConnectFailed;
     case HttpTransportStatus::TimedOut:
         return TargetAnswer::Transport::TimedOut;
--- a/Tests/Gateway/GatewayFixture.h
+++ b/Tests/Gateway/GatewayFixture.h
@@ -15,6 +15,7 @@
         AttemptMessage message;
         std::function<void(AttemptReply&&)> done;
         bool cancelled { false };
+        bool written { false };
     };
     struct Timer {
         Milliseconds at;
@@ -24,6 +25,7 @@
 
     Milliseconds time { 1000 };
     std::vector<std::shared_ptr<Sent>> sent;
+    std::vector<std::shared_ptr<Sent>> withdrawn;
     std::vector<std::shared_ptr<Timer>> timers;
     std::vector<std::string> lines;
     std::vector<ProxiedAnswer> answers;
@@ -49,7 +51,7 @@
             auto const entry = std::make_shared<Sent>(Sent { std::move(message), std::move(done) });
             this->sent.push_back(entry);
             if (this->connectionsAreFree)
-                entry->message.beforeSending(entry->message.head);
+                GatewayFixture::write(*entry);
             return [entry] { entry->cancelled = true; };
         };
         result.schedule = [this](Milliseconds at, std::function<void()> task) -> Canceller {
@@ -59,6 +61,13 @@
         };
         result.now = [this] { return this->time; };
         result.connectionShare = [](uint32_t) { return 10U; };
+        result.withdrawUnsent = [this](std::string const& address) {
+            for (auto const& entry : std::vector<std::shared_ptr<Sent>>(this->sent)) {
+                if (entry->message.address == address && !entry->written && !entry->cancelled
+                    && !entry->message.maySend())
+                    this->withdrawn.push_back(entry);
+            }
+        };
         result.closeIdle = [](std::string const&) {};
         result.shareObservations = [this](std::vector<TargetObservation>&& observations) {
             this->sharedObservations.push_back(std::move(observations));
@@ -68,6 +77,22 @@
         return result;
     }
 
+    static void write(Sent& entry)
+    {
+        entry.written = true;
+        entry.message.beforeSending(entry.message.head);
+    }
+
+    /// Ends the attempts that were withdrawn, as the pool does at the end of a turn.
+    void endWithdrawn()
+    {
+        for (auto const& entry : std::exchange(this->withdrawn, {})) {
+            AttemptReply reply;
+            reply.transport = AttemptReply::Transport::Withdrawn;
+            entry->done(std::move(reply));
+        }
+    }
+
     /// Advances the clock and runs the timers that become due, in order.
     void advance(Milliseconds duration)
     {
@@ -87,9 +112,11 @@
         this->time = end;
     }
 
-    void addTarget(std::string const& id, std::string const& service, std::string const& domain = "wien-a")
+    void addTarget(std::string const& id, std::string const& service, std::string const& domain = "wien-a",
+        TargetRegistration::State state = TargetRegistration::State::Serving)
     {
         TargetRegistration registration;
+        registration.state = state;
         registration.id = id;
         registration.service = service;
         registration.address = id + ":1";
--- a/Tests/Gateway/TestGatewayRequest.cpp
+++ b/Tests/Gateway/TestGatewayRequest.cpp
@@ -187,6 +187,57 @@
     LONGS_EQUAL(0, fixture.answers.size());
 }
 
+// Guards against sending a request to a target that began to drain, moved, restarted or was removed while the request
+// waited for a connection to it: the target ends before it has run the request.
+TEST(ForwardedRequest, RequestThatWaitsForAConnectionLeavesAWithdrawnTarget)
+{
+    using State = TargetRegistration::State;
+    auto const withdrawals = std::vector<std::function<void(GatewayFixture&, TargetRegistration)>> {
+        [](GatewayFixture& gateway, TargetRegistration const&) {
+            gateway.addTarget("near", "store", "wien-a", State::Draining);
+        },
+        [](GatewayFixture& gateway, TargetRegistration const&) {
+            gateway.gateway.sharedContext().directory.remove("near", TargetDirectory::Removal::AtOnce, {});
+        },
+        [](GatewayFixture& gateway, TargetRegistration registration) {
+            registration.address = "moved:1";
+            gateway.gateway.sharedContext().directory.put(registration, gateway.time);
+        },
+        [](GatewayFixture& gateway, TargetRegistration registration) {
+            registration.incarnation = 7;
+            gateway.gateway.sharedContext().directory.put(registration, gateway.time);
+        },
+    };
+    for (auto const& withdraw : withdrawals) {
+        GatewayFixture waiting({ 0, 0, 10000_ms });
+        waiting.installForwarded(Repeatability::NonIdempotent);
+        waiting.connectionsAreFree = false;
+        waiting.request("/fetch/1");
+        auto const near = waiting.gateway.sharedContext().directory.find("near");
+        withdraw(waiting, near->registration());
+        CHECK_FALSE(waiting.sent[0]->message.maySend());
+        waiting.endWithdrawn();
+        LONGS_EQUAL(2, waiting.sent.size());
+        CHECK(waiting.sent[1]->message.maySend());
+        waiting.reply(1, 200, "ok");
+        LONGS_EQUAL(200, waiting.status());
+    }
+}
+
+// Guards against a request that waits for a connection to a draining target until the time for such requests is over.
+TEST(ForwardedRequest, LastResortIsNotWaitedFor)
+{
+    fixture.gateway.install({ 1, { GatewayFixture::forwardedRoute(Repeatability::NonIdempotent) }, {}, {} });
+    fixture.addTarget("near", "store", "wien-a", TargetRegistration::State::Draining);
+    fixture.connectionsAreFree = false;
+    fixture.request("/fetch/1");
+    auto const& message = fixture.sent[0]->message;
+    CHECK_FALSE(message.mayWait);
+    CHECK(message.maySend());
+    fixture.advance(401_ms);
+    CHECK_FALSE(message.maySend());
+}
+
 // Guards against a caller that waits although no target is registered.
 TEST(ForwardedRequest, RefusedAtOnceWithoutTargets)
 {
@@ -339,7 +390,7 @@
     fixture.request("/search/1");
     fixture.connectionsAreFree = true;
     for (size_t index = 0; index < 9; ++index) {
-        fixture.sent[index]->message.beforeSending(fixture.sent[index]->message.head);
+        GatewayFixture::write(*fixture.sent[index]);
         fixture.reply(index, 200, record('a'));
     }
     fixture.advance(200_ms);
--- a/Tests/Net/TestHttpClientPool.cpp
+++ b/Tests/Net/TestHttpClientPool.cpp
@@ -46,6 +46,16 @@
         exchange.done = [this](HttpClientResult&& result) { this->results.push_back(std::move(result)); };
         this->pool->send(this->listener.address(), connections, std::move(exchange));
     }
+    /// Sends an exchange that may be sent as long as `allowed` is true.
+    void sendWhile(bool const& allowed)
+    {
+        HttpExchange exchange;
+        exchange.head = Poco::Net::HTTPRequest("GET", "/conditional");
+        exchange.timeout = 500_ms;
+        exchange.maySend = [&allowed] { return allowed; };
+        exchange.done = [this](HttpClientResult&& result) { this->results.push_back(std::move(result)); };
+        this->pool->send(this->listener.address(), 1, std::move(exchange));
+    }
     RawPeer accept()
     {
         runUntil(this->loop, 500_ms, [this] { return this->listener.hasConnection(); });
@@ -314,6 +324,68 @@
     LONGS_EQUAL(1, prepared.size());
 }
 
+// Guards against sending an exchange that waits for a connection after its server must not receive it any more.
+TEST(HttpClientPool, WaitingExchangeIsWithdrawn)
+{
+    this->send("one");
+    auto peer = this->accept();
+    peer.receiveUntilText(this->loop, 500_ms, "one");
+    bool allowed = true;
+    this->sendWhile(allowed);
+    this->pool->withdrawUnsent(this->listener.address());
+    LONGS_EQUAL(0, this->results.size());
+    allowed = false;
+    this->pool->withdrawUnsent(this->listener.address());
+    this->waitForResults(1);
+    this->checkResult(0, HttpTransportStatus::Withdrawn);
+    peer.send(response("first"));
+    this->waitForResults(2);
+    this->checkResult(1, HttpTransportStatus::Answered);
+    STRCMP_CONTAINS("one", peer.received.c_str());
+    CHECK(peer.received.find("/conditional") == std::string::npos);
+}
+
+// Guards against sending an exchange whose server was withdrawn without a call of withdrawUnsent(), when a connection
+// becomes free for it.
+TEST(HttpClientPool, WaitingExchangeIsCheckedBeforeItIsSent)
+{
+    this->send("one");
+    auto peer = this->accept();
+    peer.receiveUntilText(this->loop, 500_ms, "one");
+    bool allowed = true;
+    this->sendWhile(allowed);
+    allowed = false;
+    peer.send(response("first"));
+    this->waitForResults(2);
+    this->checkResult(1, HttpTransportStatus::Withdrawn);
+    peer.receive();
+    CHECK(peer.received.find("/conditional") == std::string::npos);
+}
+
+// Guards against a request that is buffered while its connection is established or delayed, where it can't be
+// withdrawn.
+TEST(HttpClientPool, ExchangeOnAConnectionIsWithdrawnUntilItIsWritten)
+{
+    bool allowed = true;
+    this->sendWhile(allowed);
+    allowed = false;
+    auto connecting = this->accept();
+    this->waitForResults(1);
+    this->checkResult(0, HttpTransportStatus::Withdrawn);
+    connecting.receiveUntilClosed(this->loop, 200_ms);
+    STRCMP_EQUAL("", connecting.received.c_str());
+    allowed = true;
+    this->pool->expectResets(Clock::now() + 1000_ms);
+    this->sendWhile(allowed);
+    auto delayed = this->accept();
+    allowed = false;
+    this->pool->withdrawUnsent(this->listener.address());
+    this->waitForResults(2);
+    this->checkResult(1, HttpTransportStatus::Withdrawn);
+    delayed.receiveUntilClosed(this->loop, 200_ms);
+    STRCMP_EQUAL("", delayed.received.c_str());
+}
+
 // Guards against taking the response to an earlier request for the response to the next one.
 TEST(HttpClientPool, SkipsResponsesToOtherRequests)
 {
