--- a/Tests/Net/TestHttpClientPool.cpp
+++ b/Tests/Net/TestHttpClientPool.cpp
@@ -15,6 +15,12 @@
     return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
+static void reset(RawPeer& peer)
+{
+    peer.socket.setLinger(true, 0);
+    peer.socket.close();
+}
+
 // clang-format off
 TEST_GROUP(HttpClientPool)
 {
@@ -553,16 +559,26 @@
     HttpClientPool pool { loop,
         { .sizes = { 2048, 10000 }, .unframedBody = HttpMessageReader::UnframedBody::UntilClose } };
 
-    RawPeer request()
+    void send()
     {
         HttpExchange exchange;
         exchange.head = Poco::Net::HTTPRequest("GET", "/");
         exchange.timeout = 500_ms;
         exchange.done = [this](HttpClientResult&& result) { this->results.push_back(std::move(result)); };
         this->pool.send(this->listener.address(), 1, std::move(exchange));
+    }
+    /// Accepts the connection of a new exchange and receives its request.
+    RawPeer connect()
+    {
+        this->send();
         runUntil(this->loop, 500_ms, [this] { return this->listener.hasConnection(); });
         auto peer = this->listener.accept();
         peer.receiveUntilText(this->loop, 500_ms, "\r\n\r\n");
+        return peer;
+    }
+    RawPeer request()
+    {
+        auto peer = this->connect();
         peer.send("HTTP/1.1 200 OK\r\n\r\nbody");
         return peer;
     }
@@ -584,6 +600,35 @@
     STRCMP_EQUAL("body", this->results[0].body.c_str());
 }
 
+// Guards against a response whose head breaks off and that is taken for a complete one with an empty body.
+TEST(HttpClientPoolUntilClose, HeadThatBreaksOffIsNoResponse)
+{
+    std::string const head = "HTTP/1.1 200 OK\r\nServer-Stamp: s1\r\nContent-Length: 0\r\nX-Rest: 1\r\n\r\n";
+    for (bool const resets : { false, true }) {
+        for (size_t size = 0; size < head.size(); ++size) {
+            for (bool const reused : { false, true }) {
+                this->results.clear();
+                auto peer = this->connect();
+                if (reused) {
+                    peer.send(response("first"));
+                    runUntil(this->loop, 500_ms, [this] { return !this->results.empty(); });
+                    this->send();
+                    peer.received.clear();
+                    peer.receiveUntilText(this->loop, 500_ms, "\r\n\r\n");
+                }
+                peer.send(std::string_view(head).substr(0, size));
+                if (resets)
+                    reset(peer);
+                else
+                    peer.socket.shutdownSend();
+                runUntil(this->loop, 500_ms, [&] { return this->results.size() >= (reused ? 2 : 1); });
+                LONGS_EQUAL(reused ? 2 : 1, this->results.size());
+                CHECK(this->results.back().transport == HttpTransportStatus::Broken);
+            }
+        }
+    }
+}
+
 // Guards against treating a truncated response as complete.
 TEST(HttpClientPoolUntilClose, ResetBreaksTheResponse)
 {
@@ -597,12 +642,6 @@
     CHECK(this->results.at(0).transport == HttpTransportStatus::Broken);
 }
 
-static void reset(RawPeer& peer)
-{
-    peer.socket.setLinger(true, 0);
-    peer.socket.close();
-}
-
 // Guards against requests that count as "may have run" because a server at its connection limit accepts connections and
 // resets them shortly afterwards. Only the first request is sent.
 TEST(HttpClientPool, RequestsAreNotSentToAServerThatResetsNewConnections)
--- a/Tests/PlatformAdapter/TestDocuments.cpp
+++ b/Tests/PlatformAdapter/TestDocuments.cpp
@@ -74,6 +74,47 @@
     checkRefused("7");
 }
 
+/// The entry as an item of the store.
+static std::string itemWith(std::string const& key, std::string const& value)
+{
+    return R"({"key":")" + key + R"(","revision":7,"value":")" + encodeBase64(value) + "\"}";
+}
+
+// Guards against one odd entry of another writer that ends the process, delays it or hides the entry behind it: deeply
+// nested, with numbers out of range in any field, or with an address that is none. It is read from the store and, in
+// the compact form, from a relay.
+TEST(Documents, OddEntryIsUnusableAndHarmsNoOther)
+{
+    constexpr size_t depth = 100000;
+    std::string const digits(400, '9');
+    std::vector<std::string> values { std::string(depth, '['), std::string(depth, '{'), digits,
+        R"({"a":)" + std::string(depth, '[') + std::string(depth, ']') + "}" };
+    for (auto const* const field :
+        { "\"slots\":2", "\"warmup_left_ms\":1500", "\"seq\":4", "\"born\":1700000000000" }) {
+        auto const name = std::string(field).substr(0, std::string(field).find(':') + 1);
+        for (auto const& number : { "-" + digits, "1e" + digits, "-1e" + digits, std::string("-1"),
+                 std::string(depth, '[') + std::string(depth, ']') })
+            values.push_back(replacePart(validTarget, field, name + number));
+    }
+    for (auto const& address : { std::string("10.128.0.9:65536"), "10.128.0.9:" + digits, std::string("10.128.0.9:-1"),
+             std::string("10.128.0.9:"), std::string(":80"), std::string("999.1.1.1:80"), std::string("10.128.9:80"),
+             std::string("1:2:3:4:5:6:7:8"), std::string("::1:80"), std::string("10.128.0.9:8080:1"), digits + ":80",
+             std::string("0.0.0.0:80") })
+        values.push_back(replacePart(validTarget, "10.128.0.9:8080", address));
+    auto const start = Clock::now();
+    for (auto const& value : values) {
+        auto const source = itemWith("servers/i-1", value);
+        for (auto const& form : { source, compactItem(source) }) {
+            auto const event = readItem(form);
+            CHECK_TEXT(event && std::get_if<UnusableEntry>(&event->change), value.substr(0, 200).c_str());
+        }
+        auto const configuration = readItem(itemWith("op/config", value));
+        CHECK_TEXT(configuration && std::get_if<UnusableEntry>(&configuration->change), value.substr(0, 200).c_str());
+    }
+    // A name lookup would take seconds for each address.
+    CHECK(Clock::now() - start < 2000_ms);
+}
+
 // Guards against one invalidly encoded value that prevents the other entries from being read, or that leaves its target
 // in use.
 TEST(Documents, ValueThatIsNotBase64IsUnusable)
