Refuse requests that outlast a planned stop as not run

Callers saw (report of other operators, probed here): requests that were taken up to 3.1 s after SIGTERM with work of 3.5 s got 502 after 5.6 s though they ran; a non-idempotent one can't be repeated then.

Cause: a stopping node took every request on kept connections, whatever its length. It now refuses, with 503 and a short Retry-After, a request whose route's usual maximum (1.2 times the 0.95 quantile, the objective without measurements) and whose caller's limit both exceed what is left of the stop.

Test: ForwardedRequest, RequestThatOutlastsTheStopIsRefused failed with the check disabled. 468 unit tests pass.

--- a/Libraries/Gateway/Gateway.cpp
+++ b/Libraries/Gateway/Gateway.cpp
@@ -12,6 +12,9 @@
 /// A node at its limit usually answers many of its running requests within this time.
 constexpr Milliseconds overloadRetryAfter { 100 };
 
+/// A caller reaches another node with its next connection, so it need not wait.
+constexpr Milliseconds stoppingRetryAfter { 10 };
+
 static GatewayContext createContext(Gateway::Options const& options, GatewayHooks hooks)
 {
     DecisionLog log(hooks.log, hooks.now);
@@ -83,6 +86,11 @@
         this->refuse(request, HTTPResponse::HTTP_NOT_FOUND, "no route for this host and path", {}, answered);
         return nullptr;
     }
+    if (!this->endsBeforeStop(request, *route)) {
+        this->refuse(
+            request, HTTPResponse::HTTP_SERVICE_UNAVAILABLE, "the node stops; not run", stoppingRetryAfter, answered);
+        return nullptr;
+    }
     if (this->context.running >= this->options.maximumRunningRequests) {
         this->refuse(request, HTTPResponse::HTTP_SERVICE_UNAVAILABLE, "too many requests run; not run",
             overloadRetryAfter, answered);
@@ -103,6 +111,17 @@
     return started;
 }
 
+void Gateway::beginStop(Milliseconds end) { this->stopEnd = end; }
+
+bool Gateway::endsBeforeStop(ProxiedRequest const& request, Route const& route) const
+{
+    if (!this->stopEnd)
+        return true;
+    auto const now = this->context.hooks.now();
+    auto const longest = callerTimeout(request, this->context.headers, route.timeout);
+    return now + std::min(this->context.latencies.usualMaximum(route, now), longest) <= *this->stopEnd;
+}
+
 void Gateway::refuse(ProxiedRequest const& request, HTTPResponse::HTTPStatus status, std::string_view reason,
     Milliseconds retryAfter, GatewayRequest::Answered const& answered)
 {
--- a/Libraries/Gateway/Gateway.h
+++ b/Libraries/Gateway/Gateway.h
@@ -5,6 +5,7 @@
 #include "Gateway/RouteTable.h"
 
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace Toucan {
@@ -42,17 +43,25 @@
     /// Returns null when the request was refused before it started. A returned request may already have been answered.
     std::shared_ptr<GatewayRequest> handle(ProxiedRequest&& request, GatewayRequest::Answered answered);
 
+    /// The node stops at `end`. Requests that are not expected to end before are refused from now on: another node can
+    /// serve them, while here they would be answered with an unknown outcome.
+    void beginStop(Milliseconds end);
+
     std::string const& failureDomain() const { return this->options.failureDomain; }
     GatewayContext& sharedContext() { return this->context; }
     size_t running() const { return this->context.running; }
 
 private:
+    /// Whether a request of the route can be expected to end before the node stops.
+    bool endsBeforeStop(ProxiedRequest const& request, Route const& route) const;
     void refuse(ProxiedRequest const& request, Poco::Net::HTTPResponse::HTTPStatus status, std::string_view reason,
         Milliseconds retryAfter, GatewayRequest::Answered const& answered);
 
     Options options;
     GatewayContext context;
     Milliseconds startedAt;
+    /// Set when the node stops.
+    std::optional<Milliseconds> stopEnd;
     std::shared_ptr<RouteTable const> table;
     TrafficSplitter splitter;
 };
--- a/Libraries/Gateway/RouteLatencies.cpp
+++ b/Libraries/Gateway/RouteLatencies.cpp
@@ -21,6 +21,10 @@
 /// just answer within the objective.
 constexpr double exhaustedHedgeShare = 0.55;
 
+/// Quantile from which the usual maximum is derived, and the margin for a request that finds the targets busier.
+constexpr double usualMaximumQuantile = 0.95;
+constexpr double usualMaximumMargin = 1.2;
+
 void RouteLatencies::add(Route const& route, Milliseconds latency, Milliseconds now)
 {
     this->byRoute[route.name].add(latency, now);
@@ -33,6 +37,15 @@
     return found == this->byRoute.end() ? assumed : found->second.quantile(0.5, now).value_or(assumed);
 }
 
+Milliseconds RouteLatencies::usualMaximum(Route const& route, Milliseconds now) const
+{
+    auto const found = this->byRoute.find(route.name);
+    if (found == this->byRoute.end())
+        return route.objective;
+    auto const slow = found->second.quantile(usualMaximumQuantile, now);
+    return slow ? *slow * usualMaximumMargin : route.objective;
+}
+
 Milliseconds RouteLatencies::hedgeDelay(Route const& route, double spentShare, Milliseconds now) const
 {
     auto const latest = route.objective * latestHedgeShare;
--- a/Libraries/Gateway/RouteLatencies.h
+++ b/Libraries/Gateway/RouteLatencies.h
@@ -14,6 +14,8 @@
     void add(Route const& route, Milliseconds latency, Milliseconds now);
     /// Median latency of recent attempts, or a share of the objective while there are too few measurements.
     Milliseconds typical(Route const& route, Milliseconds now) const;
+    /// Time within which most requests of the route end; its objective while there are too few measurements.
+    Milliseconds usualMaximum(Route const& route, Milliseconds now) const;
     /// Time after which an unanswered attempt is hedged. `spentShare` is the spent share of the extra attempts: the
     /// fewer are left, the longer the delay, so that they are used for the attempts that have most likely stalled.
     Milliseconds hedgeDelay(Route const& route, double spentShare, Milliseconds now) const;
--- a/Libraries/GatewayNode/GatewayServer.cpp
+++ b/Libraries/GatewayNode/GatewayServer.cpp
@@ -371,6 +371,7 @@
     this->stopStarted = Clock::now();
     this->gateway.sharedContext().log.line(
         "stop", { { "running", std::to_string(this->gateway.running()) } }, DecisionLog::Delivery::Always);
+    this->gateway.beginStop(*this->stopStarted + this->settings.stopTime);
     this->callers.endKeepAlive();
     this->continueStop();
 }
--- a/Tests/Gateway/TestGatewayRequest.cpp
+++ b/Tests/Gateway/TestGatewayRequest.cpp
@@ -22,6 +22,32 @@
     LONGS_EQUAL(1, fixture.answers.size());
 }
 
+// Guards against taking a request late in a planned stop that runs at a target and is cut at the end of the stop.
+TEST(ForwardedRequest, RequestThatOutlastsTheStopIsRefused)
+{
+    fixture.installForwarded(Repeatability::NonIdempotent);
+    constexpr size_t measured = 40;
+    for (size_t index = 0; index < measured; ++index)
+        fixture.request("/fetch/1", "");
+    fixture.advance(600_ms);
+    for (size_t index = 0; index < measured; ++index)
+        fixture.reply(index, 200, "ok");
+    fixture.gateway.beginStop(fixture.time + 1000_ms);
+    fixture.request("/fetch/1", "");
+    LONGS_EQUAL(measured + 1, fixture.sent.size());
+    fixture.advance(400_ms);
+    fixture.request("/fetch/1", "");
+    LONGS_EQUAL(measured + 1, fixture.sent.size());
+    LONGS_EQUAL(503, fixture.status(measured));
+    CHECK(!fixture.header("Retry-After", measured).empty());
+    // The caller waits less long than the stop lasts, so the request is answered in any case.
+    fixture.request("/fetch/1", "500");
+    LONGS_EQUAL(measured + 2, fixture.sent.size());
+    fixture.advance(600_ms);
+    fixture.request("/fetch/1", "100");
+    LONGS_EQUAL(measured + 2, fixture.sent.size());
+}
+
 // Guards against an answer that loses the target's status, signature or body.
 TEST(ForwardedRequest, ForwardsTheAnswerUnchanged)
 {
