Act on what targets say in their answers: leaving, and Retry-After

Callers and targets saw, on: a target that said Server-Leaving in its answers got requests without end while it served (349 later than drain_ms in 8 s), and targets that turned requests away with 503 and Retry-After got 381 within that time; one of three that turned away was not used again afterwards.

Cause: the fields were not read; a refusal counted as a failure, whose penalty and the closed connections kept the target out of use after its wait.

The head of every response now counts, also of one that breaks off, is late or answers another request. A leaving target gets nothing until a newer incarnation registers, also when its entry lapses meanwhile; other nodes learn it as an observation (encoded as a slowdown beyond the range, which nodes of the version before take for a target to avoid). A wait keeps this node away, is no failure, and ends at a random time soon after; the first request then ignores that the connections were closed. Requests that wait to be sent are withdrawn. With nobody left a request is refused at once.

--- a/Libraries/Gateway/GatewayMessages.h
+++ b/Libraries/Gateway/GatewayMessages.h
@@ -26,6 +26,8 @@
     /// Present when the target did not run the request.
     std::string notRun { "Toucan-Not-Run" };
     std::string retryAfter { "Retry-After" };
+    /// Present in every answer of a target that is about to stop.
+    std::string leaving { "Toucan-Leaving" };
     /// Signatures of the parts in a merged answer, separated by commas.
     std::string partSignatures { "Toucan-Part-Signatures" };
     /// Number of shards that are missing in a merged answer.
@@ -74,6 +76,9 @@
     std::function<bool()> maySend;
     /// Called just before the request is sent; may update the remaining time after a wait for a connection.
     std::function<void(Poco::Net::HTTPRequest&)> beforeSending;
+    /// Called with the head of each response on the connection, also when its body does not arrive or when it answers
+    /// another request.
+    std::function<void(Poco::Net::HTTPResponse const&)> onResponseHead;
     /// Whether a response belongs to this attempt and not to an earlier one on the same connection.
     std::function<bool(Poco::Net::HTTPResponse const&, bool firstOnConnection)> isOwnResponse;
 };
--- a/Libraries/Gateway/GatewayRequest.cpp
+++ b/Libraries/Gateway/GatewayRequest.cpp
@@ -2,6 +2,7 @@
 
 #include "Gateway/RecordMerger.h"
 #include "Gateway/ShardOutlook.h"
+#include "Gateway/TargetNotice.h"
 #include <Poco/NumberFormatter.h>
 #include <Poco/NumberParser.h>
 #include <Poco/String.h>
@@ -23,6 +24,11 @@
 /// without healthy targets.
 constexpr uint32_t maximumAttemptsPerPart = 5;
 
+/// The nodes return to a target that wanted to wait within this share of the wait, and at most this time, after its
+/// end, so that they don't return at once.
+constexpr double returnSpreadShare = 0.25;
+constexpr Milliseconds maximumReturnSpread { 500 };
+
 size_t GatewayRequest::Part::runningAttempts() const
 {
     return static_cast<size_t>(std::count_if(
@@ -198,6 +204,8 @@
         self->parts[partIndex].attempts[attemptIndex].sent = true;
         self->setRemainingTime(head);
     };
+    message.onResponseHead
+        = [self = this->shared_from_this(), target](HTTPResponse const& head) { self->onResponseHead(target, head); };
     target->onSent(now);
     part.attempts.push_back({ target, now, {} });
     ++part.sentAttempts;
@@ -215,6 +223,29 @@
     return true;
 }
 
+void GatewayRequest::onResponseHead(TargetDirectory::TargetPointer const& target, HTTPResponse const& head)
+{
+    auto const notice = readNotice(head, this->context.headers);
+    auto const& id = target->registration().id;
+    if (notice.leaving && this->context.directory.onLeaving(target)) {
+        this->context.metrics.count("targets_leaving");
+        if (this->context.mechanisms.isEnabled(Mechanism::SharedObservations))
+            this->context.outbox.add({ .target = id, .leaving = true });
+    }
+    if (!notice.unusableWait.empty())
+        this->context.log.line("retry-after-out-of-range",
+            { { "request", this->requestId }, { "target", id }, { "value", notice.unusableWait.substr(0, 100) } });
+    if (!notice.wait)
+        return;
+    auto const end = this->now() + *notice.wait;
+    auto const spread = std::min(*notice.wait * returnSpreadShare, maximumReturnSpread);
+    this->context.directory.onWait(target, end, end + spread * this->context.hooks.random());
+    this->context.metrics.count("target_waits");
+    this->context.log.line("target-waits",
+        { { "request", this->requestId }, { "target", id }, { "service", target->registration().service },
+            { "wait_ms", Poco::NumberFormatter::format(notice.wait->value, 0) } });
+}
+
 void GatewayRequest::recordOutcome(Attempt const& attempt, AttemptOutcome outcome, AttemptReply const& reply)
 {
     using Result = GatewayTarget::Result;
@@ -230,7 +261,7 @@
     else if (mayBlock && outcome == AttemptOutcome::NotSent)
         result = Result::Unreachable;
     else if (outcome == AttemptOutcome::NotRun)
-        result = Result::NotRun;
+        result = attempt.target->isWaiting(now) ? Result::TurnedAway : Result::NotRun;
     attempt.target->onEnded(result, attempt.sentAt, this->context.latencies.typical(this->route, now), now);
     if (outcome == AttemptOutcome::Success)
         this->context.latencies.add(this->route, now - attempt.sentAt, now);
@@ -244,8 +275,8 @@
     if (reply.transport == AttemptReply::Transport::Answered) {
         auto const load = readLoad(reply.head, this->context.headers);
         bool const sharing = this->context.mechanisms.isEnabled(Mechanism::SharedObservations);
-        if (load && attempt.target->onLoadReport(*load, now) && sharing)
-            this->context.outbox.add(attempt.target->registration().id, *load->slowdown);
+        if (load && attempt.target->onLoadReport(*load, now) && sharing && !attempt.target->isLeaving())
+            this->context.outbox.add({ attempt.target->registration().id, *load->slowdown, {} });
     }
     if (outcome == AttemptOutcome::Success)
         return;
--- a/Libraries/Gateway/GatewayTarget.cpp
+++ b/Libraries/Gateway/GatewayTarget.cpp
@@ -51,6 +51,7 @@
     , sameFailureDomain(sameFailureDomain)
     , warmUpEnd(now + this->entry.warmUpLeft)
     , drainStart(now)
+    , firstKnown(now)
     , slowdownEstimatedAt(now)
     , queueEstimatedAt(now)
     , failureEstimatedAt(now)
@@ -69,7 +70,20 @@
     this->entry = std::move(registration);
 }
 
-void GatewayTarget::onSent(Milliseconds now) { this->sentTimes.push_back(now); }
+void GatewayTarget::waitUntil(Milliseconds end, Milliseconds returnAt)
+{
+    if (end <= this->wantedWaitEnd)
+        return;
+    this->wantedWaitEnd = end;
+    this->returnAt = std::max(end, returnAt);
+    this->returning = true;
+}
+
+void GatewayTarget::onSent(Milliseconds now)
+{
+    this->sentTimes.push_back(now);
+    this->returning = this->returning && this->isWaiting(now);
+}
 
 double GatewayTarget::slowdown(Milliseconds now) const
 {
@@ -107,6 +121,12 @@
         this->blockedUntil = now + fullTargetBlockTime;
         return;
     }
+    if (result == Result::TurnedAway) {
+        // Not a failure: the target is as good as before when its wait ends.
+        this->consecutiveUnreachable = 0;
+        this->blockedUntil = {};
+        return;
+    }
     bool const failed = result != Result::Succeeded;
     this->failureEstimate = this->failureShare(now) * (1 - failureWeight) + (failed ? failureWeight : 0);
     this->failureEstimatedAt = now;
@@ -164,7 +184,9 @@
         if (now - this->sentTimes.front() > limit)
             expected += stallPenalty;
     }
-    if (conditions.hasIdleConnection && !conditions.hasIdleConnection(this->entry.address))
+    // The connections to a target that wanted to wait were closed meanwhile. Without this exception it would get no
+    // request as long as the others are not busy.
+    if (!this->returning && conditions.hasIdleConnection && !conditions.hasIdleConnection(this->entry.address))
         expected += newConnectionTime;
     if (!this->sameFailureDomain && mechanisms.isEnabled(Mechanism::FailureDomainPreference))
         expected += std::clamp(typical * remotePenaltyRatio, minimumRemotePenalty, maximumRemotePenalty);
--- a/Libraries/Gateway/GatewayTarget.h
+++ b/Libraries/Gateway/GatewayTarget.h
@@ -29,6 +29,8 @@
         Failed,
         /// The target did not start the request.
         NotRun,
+        /// The target did not start the request and stated how long it wants none; see waitUntil().
+        TurnedAway,
         /// No connection could be made.
         Unreachable,
         /// The target accepts no more connections; it serves the existing ones.
@@ -68,6 +70,12 @@
     /// Called when another target answered at the address; no request is sent until the registration has another
     /// address or the target has restarted.
     void onReplaced() { this->replaced = true; }
+    /// Called when the target said that it is about to stop; it receives nothing any more. Only a registration of a
+    /// newer incarnation ends this.
+    void onLeaving() { this->leaving = true; }
+    /// The target wants no requests from this node before `end`; it receives the next one at `returnAt`, which is not
+    /// earlier. Has no effect when an earlier statement lasts longer.
+    void waitUntil(Milliseconds end, Milliseconds returnAt);
     /// Called when the registration was removed or replaced by one of another incarnation.
     void onRemoved() { this->removed = true; }
 
@@ -75,6 +83,12 @@
     /// Time at which this node received the present state of the target, also while it is not draining.
     Milliseconds drainingSince() const { return this->drainStart; }
     bool isReplaced() const { return this->replaced; }
+    bool isLeaving() const { return this->leaving; }
+    /// Time before which the target receives nothing because it asked this node to wait.
+    Milliseconds waitEnd() const { return this->returnAt; }
+    bool isWaiting(Milliseconds now) const { return this->returnAt > now; }
+    /// Time from which on this node has known this incarnation of the target.
+    Milliseconds knownSince() const { return this->firstKnown; }
     bool isRemoved() const { return this->removed; }
     bool isBlocked(Milliseconds now) const { return this->blockedUntil > now; }
     Milliseconds blockEnd() const { return this->blockedUntil; }
@@ -101,6 +115,12 @@
     Milliseconds drainStart;
     bool replaced { false };
     bool removed { false };
+    bool leaving { false };
+    Milliseconds firstKnown;
+    Milliseconds wantedWaitEnd;
+    Milliseconds returnAt;
+    /// Whether the target has received nothing since it asked this node to wait.
+    bool returning { false };
     /// Times at which the running requests were sent, oldest first.
     std::vector<Milliseconds> sentTimes;
     double slowdownEstimate { 1 };
--- a/Libraries/Gateway/ObservationFeed.cpp
+++ b/Libraries/Gateway/ObservationFeed.cpp
@@ -12,9 +12,11 @@
 void ObservationFeed::append(std::span<TargetObservation const> observations, Milliseconds now)
 {
     for (auto const& observation : observations) {
-        // Only the newest observation of a target counts.
-        std::erase_if(this->entries,
-            [&observation](Entry const& entry) { return entry.observation.target == observation.target; });
+        // Only the newest observation of a target counts, but a slowdown does not replace that the target leaves.
+        std::erase_if(this->entries, [&observation](Entry const& entry) {
+            return entry.observation.target == observation.target
+                && (observation.leaving || !entry.observation.leaving);
+        });
         this->entries.push_back({ ++this->lastNumber, observation, now });
     }
     while (!this->entries.empty()
--- a/Libraries/Gateway/ObservationOutbox.cpp
+++ b/Libraries/Gateway/ObservationOutbox.cpp
@@ -12,22 +12,26 @@
 {
 }
 
-void ObservationOutbox::add(std::string const& target, double slowdown, Milliseconds age)
+void ObservationOutbox::add(TargetObservation const& observation)
 {
     if (!this->hooks.send)
         return;
     auto const now = this->hooks.now();
     if (this->pending.empty())
         this->hooks.schedule(now + collectTime, [this] { this->flush(); });
-    this->pending[target] = { slowdown, now - age };
+    auto& entry = this->pending[observation.target];
+    if (!entry.observation.leaving || observation.leaving)
+        entry = { observation, now - observation.age };
 }
 
 void ObservationOutbox::flush()
 {
     auto const now = this->hooks.now();
     std::vector<TargetObservation> observations;
-    for (auto const& [target, entry] : std::exchange(this->pending, {}))
-        observations.push_back({ target, entry.slowdown, now - entry.at });
+    for (auto const& [target, entry] : std::exchange(this->pending, {})) {
+        observations.push_back(entry.observation);
+        observations.back().age = now - entry.at;
+    }
     this->hooks.send(std::move(observations));
 }
 
--- a/Libraries/Gateway/ObservationOutbox.h
+++ b/Libraries/Gateway/ObservationOutbox.h
@@ -20,12 +20,12 @@
 
     explicit ObservationOutbox(Hooks hooks);
 
-    /// Replaces an earlier observation of the same target in the batch.
-    void add(std::string const& target, double slowdown, Milliseconds age = {});
+    /// Replaces an earlier observation of the same target in the batch, but not by a slowdown that the target leaves.
+    void add(TargetObservation const& observation);
 
 private:
     struct Pending {
-        double slowdown { 1 };
+        TargetObservation observation;
         Milliseconds at;
     };
 
--- a/Libraries/Gateway/RegistrySync.cpp
+++ b/Libraries/Gateway/RegistrySync.cpp
@@ -211,12 +211,16 @@
     this->context.log.line("observations-taken", { { "targets", toString(observations) } });
     auto const now = this->now();
     for (auto const& observation : observations) {
-        auto const& directory = this->context.directory;
+        auto& directory = this->context.directory;
         auto const target = observation.target.empty() ? directory.findByHash(observation.idHash)
                                                        : directory.find(observation.target);
         if (!target)
             continue;
-        target->onSharedSlowdown(observation.slowdown, now - observation.age);
+        if (!observation.leaving)
+            target->onSharedSlowdown(observation.slowdown, now - observation.age);
+        // An observation from before this node knew the target may be of an earlier incarnation.
+        else if (now - observation.age >= target->knownSince())
+            directory.onLeaving(target);
         this->context.metrics.count("observations_taken");
     }
 }
--- a/Libraries/Gateway/ShardOutlook.cpp
+++ b/Libraries/Gateway/ShardOutlook.cpp
@@ -11,7 +11,8 @@
 
 bool isUsable(GatewayTarget const& target, Milliseconds now)
 {
-    return !target.isReplaced() && !target.isBlocked(now) && !target.isDraining();
+    return !target.isReplaced() && !target.isLeaving() && !target.isBlocked(now) && !target.isWaiting(now)
+        && !target.isDraining();
 }
 
 static bool isWithinDrainingFallback(GatewayTarget const& target, Milliseconds now)
@@ -21,12 +22,13 @@
 
 bool isLastResort(GatewayTarget const& target, Milliseconds now)
 {
-    return isWithinDrainingFallback(target, now) && !target.isReplaced() && !target.isBlocked(now);
+    return isWithinDrainingFallback(target, now) && !target.isReplaced() && !target.isLeaving()
+        && !target.isBlocked(now) && !target.isWaiting(now);
 }
 
 bool mayReceiveAssigned(GatewayTarget const& target, bool asLastResort, Milliseconds now)
 {
-    if (target.isRemoved() || target.isReplaced())
+    if (target.isRemoved() || target.isReplaced() || target.isLeaving() || target.isWaiting(now))
         return false;
     return !target.isDraining() || (asLastResort && isWithinDrainingFallback(target, now));
 }
@@ -40,9 +42,9 @@
     for (auto const& target : targets) {
         if (isLastResort(*target, now))
             ++lastResorts;
-        if (target->isReplaced() || target->isDraining())
+        if (target->isReplaced() || target->isDraining() || target->isLeaving())
             continue;
-        auto const at = std::max(target->blockEnd(), now);
+        auto const at = std::max({ target->blockEnd(), target->waitEnd(), now });
         outlook.availableAt = outlook.availableAt ? std::min(*outlook.availableAt, at) : at;
         if (!isUsable(*target, now))
             continue;
--- a/Libraries/Gateway/TargetDirectory.cpp
+++ b/Libraries/Gateway/TargetDirectory.cpp
@@ -6,6 +6,9 @@
 
 namespace Toucan {
 
+/// Notices of targets that are no longer registered; the oldest one is forgotten first.
+constexpr size_t maximumNotices = 4096;
+
 TargetDirectory::TargetDirectory(std::string failureDomain, Hooks hooks)
     : failureDomain(std::move(failureDomain))
     , hooks(std::move(hooks))
@@ -39,6 +42,7 @@
     }
     bool const sameDomain = registration.failureDomain == this->failureDomain;
     auto const target = std::make_shared<GatewayTarget>(std::move(registration), sameDomain, now);
+    this->restoreNotice(*target);
     this->targetsById[target->registration().id] = target;
     this->targetsByService[target->registration().service].push_back(target);
     this->targetsByHash.emplace(hashTargetId(target->registration().id), target);
@@ -51,6 +55,63 @@
         this->hooks.withdrawn(address);
 }
 
+bool TargetDirectory::onLeaving(TargetPointer const& target)
+{
+    if (target->isLeaving())
+        return false;
+    target->onLeaving();
+    // An answer may arrive after the entry of its target has been removed.
+    if (target->isRemoved())
+        this->rememberNotice(*target);
+    this->hooks.changed("target-leaving", target->registration());
+    this->withdraw(target->registration().address);
+    return true;
+}
+
+void TargetDirectory::onWait(TargetPointer const& target, Milliseconds end, Milliseconds returnAt)
+{
+    target->waitUntil(end, returnAt);
+    if (target->isRemoved())
+        this->rememberNotice(*target);
+    this->withdraw(target->registration().address);
+}
+
+void TargetDirectory::rememberNotice(GatewayTarget const& target)
+{
+    if (!target.isLeaving() && target.waitEnd() == Milliseconds {})
+        return;
+    auto const& registration = target.registration();
+    if (auto const present = this->find(registration.id)) {
+        // The entry came back while an answer to the earlier one was on its way.
+        if (present->registration().incarnation > registration.incarnation)
+            return;
+        if (target.isLeaving())
+            this->onLeaving(present);
+        present->waitUntil(target.waitEnd(), target.waitEnd());
+        return;
+    }
+    auto& notice = this->notices[registration.id];
+    notice = { registration.incarnation, target.isLeaving(), target.waitEnd(), ++this->lastNotice };
+    if (this->notices.size() <= maximumNotices)
+        return;
+    this->notices.erase(std::min_element(this->notices.begin(), this->notices.end(),
+        [](auto const& one, auto const& other) { return one.second.number < other.second.number; }));
+}
+
+void TargetDirectory::restoreNotice(GatewayTarget& target)
+{
+    auto const found = this->notices.find(target.registration().id);
+    if (found == this->notices.end())
+        return;
+    auto const notice = found->second;
+    this->notices.erase(found);
+    if (target.registration().incarnation > notice.incarnation)
+        return;
+    if (notice.leaving)
+        target.onLeaving();
+    target.waitUntil(notice.waitEnd, notice.waitEnd);
+}
+
 void TargetDirectory::erase(std::string const& id)
 {
     this->deferred.erase(id);
@@ -62,6 +123,7 @@
     std::erase(this->targetsByService[target->registration().service], target);
     std::erase_if(this->targetsByHash, [&target](auto const& entry) { return entry.second == target; });
     this->hooks.changed("target-removed", target->registration());
+    this->rememberNotice(*target);
     target->onRemoved();
     this->withdraw(target->registration().address);
 }
--- a/Libraries/Gateway/TargetDirectory.h
+++ b/Libraries/Gateway/TargetDirectory.h
@@ -25,8 +25,8 @@
     struct Hooks {
         /// Called for the log: for each change of the directory, and for each outdated registration that is ignored.
         std::function<void(std::string_view event, TargetRegistration const&)> changed;
-        /// Called when a target at the address has begun to drain, moved away or been removed, so that requests that
-        /// wait to be sent to it can be withdrawn. May be empty.
+        /// Called when a target at the address has begun to drain or to leave, wants to wait, moved away or was
+        /// removed, so that requests that wait to be sent to it can be withdrawn. May be empty.
         std::function<void(std::string const& address)> withdrawn {};
     };
 
@@ -40,6 +40,12 @@
     /// Removes the deferred entries that are due. Returns when to call again; empty when no removal is deferred.
     std::optional<Milliseconds> expire(Milliseconds now);
 
+    /// Records that the target said that it leaves. It receives nothing from now on, also when its entry lapses and
+    /// comes back, until a newer incarnation registers. Returns whether this is news.
+    bool onLeaving(TargetPointer const& target);
+    /// Records that the target wants no requests before `end`; see GatewayTarget::waitUntil().
+    void onWait(TargetPointer const& target, Milliseconds end, Milliseconds returnAt);
+
     /// Valid until the next change of the directory.
     std::span<TargetPointer const> targets(std::string const& service) const;
     /// Null when the target is not registered.
@@ -49,7 +55,18 @@
     size_t size() const { return this->targetsById.size(); }
 
 private:
+    /// What a target that is no longer registered said about further requests.
+    struct RememberedNotice {
+        uint64_t incarnation { 0 };
+        bool leaving { false };
+        Milliseconds waitEnd;
+        /// Increases with each notice.
+        uint64_t number { 0 };
+    };
+
     void erase(std::string const& id);
+    void rememberNotice(GatewayTarget const& target);
+    void restoreNotice(GatewayTarget& target);
     void withdraw(std::string const& address) const;
 
     std::string failureDomain;
@@ -59,6 +76,8 @@
     std::unordered_multimap<uint32_t, TargetPointer> targetsByHash;
     /// Deferred removals: targets that are removed at the given time unless they register again.
     std::map<std::string, Milliseconds> deferred;
+    std::map<std::string, RememberedNotice> notices;
+    uint64_t lastNotice { 0 };
 };
 
 } // namespace Toucan
--- a/Libraries/Gateway/TargetObservation.cpp
+++ b/Libraries/Gateway/TargetObservation.cpp
@@ -14,7 +14,7 @@
         auto const name
             = observation.target.empty() ? Poco::NumberFormatter::formatHex(observation.idHash) : observation.target;
         text += (text.empty() ? "" : ",") + name + ":";
-        text += Poco::NumberFormatter::format(observation.slowdown, 2);
+        text += observation.leaving ? "leaving" : Poco::NumberFormatter::format(observation.slowdown, 2);
     }
     return text;
 }
--- a/Libraries/GatewayNode/GatewayServer.cpp
+++ b/Libraries/GatewayNode/GatewayServer.cpp
@@ -125,7 +125,7 @@
         if (!this->isRelay())
             return;
         for (auto const& observation : observations)
-            this->relayOutbox.add(observation.target, observation.slowdown, observation.age);
+            this->relayOutbox.add(observation);
     };
     return relayHooks;
 }
@@ -267,6 +267,7 @@
     exchange.whenBusy = message.mayWait ? HttpExchange::WhenBusy::Wait : HttpExchange::WhenBusy::Drop;
     exchange.maySend = std::move(message.maySend);
     exchange.beforeSending = std::move(message.beforeSending);
+    exchange.onResponseHead = std::move(message.onResponseHead);
     exchange.isOwnResponse = std::move(message.isOwnResponse);
     exchange.done = [done = std::move(done)](HttpClientResult&& result) {
         done({ transportOf(result.transport), result.head, std::move(result.body), std::move(result.fault),
--- a/Libraries/GatewayNode/RelayCodec.cpp
+++ b/Libraries/GatewayNode/RelayCodec.cpp
@@ -20,6 +20,9 @@
 
 /// Slowdowns are written as integer percentages.
 constexpr double percent = 100;
+/// Written in place of a slowdown when the target leaves. Versions that don't know it take it for a slowdown of a
+/// target that should not be used.
+constexpr uint32_t leavingPercentage = 4294967295;
 
 static Json::UInt64 wholeMilliseconds(Milliseconds duration)
 {
@@ -32,7 +35,9 @@
     for (auto const& observation : observations) {
         Json::Value entry(Json::arrayValue);
         entry.append(observation.target);
-        entry.append(Json::UInt64 { static_cast<uint64_t>(observation.slowdown * percent) });
+        auto const percentage
+            = std::clamp(observation.slowdown * percent, 0.0, static_cast<double>(leavingPercentage - 1));
+        entry.append(Json::UInt64 { observation.leaving ? leavingPercentage : static_cast<uint64_t>(percentage) });
         entry.append(wholeMilliseconds(observation.age));
         list.append(std::move(entry));
     }
@@ -48,8 +53,11 @@
         if (!valid)
             throw Error(ErrorKind::InvalidInput, "An observation is not [target, slowdown, age]",
                 "Run the same version on all nodes");
-        observations.push_back(
-            { entry[0].asString(), std::max(entry[1].asUInt(), 1U) / percent, Milliseconds { entry[2].asDouble() } });
+        auto const percentage = entry[1].asUInt();
+        TargetObservation observation { entry[0].asString(), std::max(percentage, 1U) / percent,
+            Milliseconds { entry[2].asDouble() } };
+        observation.leaving = percentage == leavingPercentage;
+        observations.push_back(std::move(observation));
     }
     return observations;
 }
@@ -73,6 +81,8 @@
 constexpr double stepsPerDoubling = 17;
 /// Packed value of a slowdown of 1.
 constexpr int slowdownOffset = 68;
+/// Packed in place of a slowdown when the target leaves; slowdowns are below it.
+constexpr uint8_t packedLeaving = 255;
 /// Unit of a packed age, in milliseconds.
 constexpr double packedAgeUnit = 10;
 /// Size of one packed observation.
@@ -88,7 +98,8 @@
         auto const hash = observation.target.empty() ? observation.idHash : hashTargetId(observation.target);
         for (unsigned shift = 0; shift < 32; shift += 8)
             bytes += static_cast<char>(static_cast<uint8_t>(hash >> shift));
-        bytes += toByte(std::round(std::log2(observation.slowdown) * stepsPerDoubling) + slowdownOffset);
+        auto const slowdown = std::round(std::log2(observation.slowdown) * stepsPerDoubling) + slowdownOffset;
+        bytes += toByte(observation.leaving ? packedLeaving : std::min<double>(slowdown, packedLeaving - 1));
         bytes += toByte(std::round(observation.age.value / packedAgeUnit));
     }
     return bytes;
@@ -105,6 +116,7 @@
         TargetObservation observation;
         for (unsigned index = 0; index < 4; ++index)
             observation.idHash |= static_cast<uint32_t>(at(index)) << (8 * index);
+        observation.leaving = at(4) == packedLeaving;
         observation.slowdown = std::exp2((at(4) - slowdownOffset) / stepsPerDoubling);
         observation.age = { at(5) * packedAgeUnit };
         observations.push_back(std::move(observation));
--- a/Libraries/GatewayNode/RelayCodec.h
+++ b/Libraries/GatewayNode/RelayCodec.h
@@ -24,7 +24,7 @@
 std::string compressEntries(std::span<RegistryEvent const> events, RegistryCompactor const& compact);
 
 /// Observations in six bytes each: the hash of the target's id (four bytes, least significant first), the slowdown as a
-/// logarithm, and the age in units of 10 ms.
+/// logarithm or 255 for a target that leaves, and the age in units of 10 ms.
 std::string packObservations(std::span<TargetObservation const> observations);
 /// Throws Error of kind InvalidInput when the length is not a multiple of six.
 std::vector<TargetObservation> unpackObservations(std::string_view bytes);
--- a/Libraries/Net/HttpClientPool.cpp
+++ b/Libraries/Net/HttpClientPool.cpp
@@ -177,6 +177,7 @@
 
         void resetReader()
         {
+            this->headReported = false;
             auto sizes = this->limits.sizes;
             if (this->pending->exchange.bodyLimit)
                 sizes.bodyBytes = this->pending->exchange.bodyLimit;
@@ -185,6 +186,16 @@
                 this->reader.expectNoBody();
         }
 
+        HttpMessageReader::Status readResponse()
+        {
+            auto const status = this->reader.read(this->channel->input());
+            if (this->reader.hasHead() && !std::exchange(this->headReported, true)) {
+                if (auto const& onHead = this->pending->exchange.onResponseHead)
+                    onHead(this->reader.response());
+            }
+            return status;
+        }
+
         bool shouldSkipResponse()
         {
             auto const& isOwn = this->pending->exchange.isOwnResponse;
@@ -210,14 +221,14 @@
                 this->fail("a response that nobody waits for");
                 return;
             }
-            auto status = this->reader.read(this->channel->input());
+            auto status = this->readResponse();
             while (status == Status::Complete && this->shouldSkipResponse()) {
                 if (++this->skipped > maximumSkippedResponses) {
                     this->fail("too many interim responses or responses to other requests");
                     return;
                 }
                 this->resetReader();
-                status = this->reader.read(this->channel->input());
+                status = this->readResponse();
             }
             if (status == Status::NeedMore) {
                 this->accountForInput();
@@ -278,6 +289,8 @@
         /// Whether the request waits for the end of the delay after the connection was opened.
         bool delayed { false };
         bool written { false };
+        /// Whether the exchange has been given the head of the response that is being read.
+        bool headReported { false };
         uint32_t skipped { 0 };
         /// Bytes that were sent on the connection before the current exchange.
         uint64_t sentBefore { 0 };
--- a/Libraries/Net/HttpClientPool.h
+++ b/Libraries/Net/HttpClientPool.h
@@ -79,6 +79,9 @@
     std::function<bool()> maySend;
     /// Called just before the request is written to a connection; may change its header fields.
     std::function<void(Poco::Net::HTTPRequest&)> beforeSending;
+    /// Called with the head of each response that arrives for this exchange, before its body is read, also when
+    /// isOwnResponse refuses it. May be empty.
+    std::function<void(Poco::Net::HTTPResponse const&)> onResponseHead;
     /// Whether a response answers this exchange; other responses are discarded and the next one is awaited.
     /// `firstOnConnection` is true until the connection has completed an exchange. When not set, every response is
     /// accepted.
--- a/Libraries/Net/HttpMessageReader.h
+++ b/Libraries/Net/HttpMessageReader.h
@@ -54,6 +54,8 @@
     void expectNoBody() { this->noBody = true; }
     /// The peer closed its sending side in an orderly way. Returns whether the message is complete.
     bool finishAtClose();
+    /// Whether the header was read and is valid.
+    bool hasHead() const { return this->stage != Stage::Header; }
     /// Whether the header was read and the body is still expected.
     bool expectsBody() const { return this->stage != Stage::Header && this->stage != Stage::Done; }
 
--- a/Tests/Gateway/GatewayFixture.h
+++ b/Tests/Gateway/GatewayFixture.h
@@ -182,8 +182,16 @@
             std::move(request), [this](ProxiedAnswer&& answer) { this->answers.push_back(std::move(answer)); });
     }
 
-    /// Answers attempt `index` with a response of its target.
-    void reply(size_t index, int status, std::string const& body, std::string const& signature = "s")
+    /// Ends attempt `index` with a response of its target.
+    void answer(size_t index, AttemptReply&& reply)
+    {
+        this->sent.at(index)->message.onResponseHead(reply.head);
+        this->sent.at(index)->done(std::move(reply));
+    }
+
+    /// Answers attempt `index` with a response of its target; `fields` are added to its head.
+    void reply(size_t index, int status, std::string const& body, std::string const& signature = "s",
+        std::map<std::string, std::string> const& fields = {})
     {
         AttemptReply reply;
         reply.transport = AttemptReply::Transport::Answered;
@@ -191,18 +199,22 @@
         reply.head.set("Toucan-Request-Id", "r1");
         if (!signature.empty())
             reply.head.set("Toucan-Signature", signature + std::to_string(index));
+        for (auto const& [name, value] : fields)
+            reply.head.set(name, value);
         reply.body = body;
-        this->sent.at(index)->done(std::move(reply));
+        this->answer(index, std::move(reply));
     }
 
-    /// Answers attempt `index` with a refusal that reports that the request was not run.
-    void replyNotRun(size_t index)
+    /// Answers attempt `index` with a refusal that reports that the request was not run; `retryAfter` in seconds.
+    void replyNotRun(size_t index, std::string const& retryAfter = "")
     {
         AttemptReply reply;
         reply.transport = AttemptReply::Transport::Answered;
         reply.head.setStatus(Poco::Net::HTTPResponse::HTTP_SERVICE_UNAVAILABLE);
         reply.head.set("Toucan-Not-Run", "1");
-        this->sent.at(index)->done(std::move(reply));
+        if (!retryAfter.empty())
+            reply.head.set("Retry-After", retryAfter);
+        this->answer(index, std::move(reply));
     }
 
     /// Ends attempt `index` with a transport failure.
--- a/Tests/Gateway/TestObservations.cpp
+++ b/Tests/Gateway/TestObservations.cpp
@@ -95,6 +95,20 @@
     CHECK(feed.after(0, 1000_ms).size() <= 64);
 }
 
+// Guards against the news that a target leaves being replaced by a slowdown that another node reports.
+TEST(ObservationFeed, SlowdownDoesNotReplaceThatATargetLeaves)
+{
+    ObservationFeed feed;
+    TargetObservation leaving { "t1", 1, 0_ms };
+    leaving.leaving = true;
+    std::vector<TargetObservation> const first { leaving };
+    std::vector<TargetObservation> const second { { "t1", 8, 0_ms } };
+    feed.append(first, 1000_ms);
+    feed.append(second, 1001_ms);
+    auto const all = feed.after(0, 1002_ms);
+    CHECK(std::any_of(all.begin(), all.end(), [](TargetObservation const& entry) { return entry.leaving; }));
+}
+
 TEST_GROUP(ObservationCodec) {};
 
 // Guards against observations that cannot be read in the log.
--- a/Tests/Gateway/TestRelayCodec.cpp
+++ b/Tests/Gateway/TestRelayCodec.cpp
@@ -71,6 +71,23 @@
     CHECK_THROWS(Error, unpackObservations("12345"));
 }
 
+// Guards against a leaving target that other nodes take for a slow one, and against a slow one that they take for
+// leaving.
+TEST(RelayCodec, LeavingTargetsAreNotSlowOnes)
+{
+    std::vector<TargetObservation> observations { { "t1", 1e9, 5_ms }, { "t2", 1, 5_ms } };
+    observations[1].leaving = true;
+    auto const packed = unpackObservations(packObservations(observations));
+    auto const text = readObservations(writeObservations(observations));
+    for (auto const& read : { packed, text }) {
+        LONGS_EQUAL(2, read.size());
+        CHECK_FALSE(read[0].leaving);
+        CHECK(read[1].leaving);
+        // For nodes that don't know the value.
+        CHECK(read[1].slowdown > 1000);
+    }
+}
+
 // Guards against the traffic of a configuration that is sent to every follower: repeated text must be compressed.
 TEST(RelayCodec, RepeatedTextIsCompressed)
 {
--- a/Tests/Integration/platform_standin.py
+++ b/Tests/Integration/platform_standin.py
@@ -247,6 +247,11 @@
         self.sequence = 0
         self.born = int(time.time() * 1000)
         self.delay = 0.0
+        # Whether every answer says that the target leaves.
+        self.leaving = False
+        # Seconds in the Retry-After of behave_shed, and the time, request id and seconds of each such answer.
+        self.retry_after = None
+        self.waits = []
         # Value of the load header: running, queued, slots and optionally the slowdown in percent.
         self.load = "1,0,8"
         # Suffix of the behave_* method that answers requests and returns True if it did; None selects the normal
@@ -329,11 +334,22 @@
         records = b"".join(f"{self.identity[:8]:8}{call.headers['Request-Id'][-7:]:>7}{index}".encode()
                            for index in range(2))
         call.answer(200, records, [("Request-Id", call.headers["Request-Id"]), ("Server-Stamp", self.stamp(call)),
-                                   ("Backend-Load", self.load)])
+                                   ("Backend-Load", self.load), *self.notices()])
+
+    def notices(self):
+        """Header fields with which the target says that it leaves."""
+        return [("Server-Leaving", "1")] if self.leaving else []
 
     def behave_shed(self, call):
         """Refuses the request with 503 without running it."""
-        call.answer(503, headers=[("Not-Executed", "1"), ("Request-Id", call.headers["Request-Id"])])
+        headers = [("Not-Executed", "1"), ("Request-Id", call.headers["Request-Id"]), *self.notices()]
+        retry_after = self.retry_after
+        if retry_after is not None:
+            headers.append(("Retry-After", str(retry_after)))
+        call.answer(503, headers=headers)
+        if retry_after is not None:
+            with self.lock:
+                self.waits.append((time.monotonic(), call.headers["Request-Id"], retry_after))
         return True
 
     def behave_run_and_reset(self, call):
@@ -348,7 +364,8 @@
         """Runs the request and answers 500."""
         with self.lock:
             self.runs.append({"at": time.monotonic(), "id": call.headers["Request-Id"], "state": self.state})
-        call.answer(500, b"failed", [("Server-Stamp", self.stamp(call)), ("Request-Id", call.headers["Request-Id"])])
+        call.answer(500, b"failed", [("Server-Stamp", self.stamp(call)), ("Request-Id", call.headers["Request-Id"]),
+                                     *self.notices()])
         return True
 
     def behave_truncate(self, call):
--- a/Tests/Net/TestHttpClientPool.cpp
+++ b/Tests/Net/TestHttpClientPool.cpp
@@ -392,6 +392,31 @@
     STRCMP_EQUAL("", delayed.received.c_str());
 }
 
+// Guards against missing what the server says in a head whose response is skipped, or whose body never arrives.
+TEST(HttpClientPool, ReportsTheHeadOfEachResponseOnce)
+{
+    std::vector<std::string> heads;
+    HttpExchange exchange;
+    exchange.head = Poco::Net::HTTPRequest("GET", "/head");
+    exchange.timeout = 200_ms;
+    exchange.onResponseHead
+        = [&heads](Poco::Net::HTTPResponse const& head) { heads.push_back(head.get("X-Answer", "")); };
+    exchange.isOwnResponse = [](Poco::Net::HTTPResponse const& head, bool) { return head.get("X-Answer") == "own"; };
+    exchange.done = [this](HttpClientResult&& result) { this->results.push_back(std::move(result)); };
+    this->pool->send(this->listener.address(), 1, std::move(exchange));
+    auto peer = this->accept();
+    peer.receiveUntilText(this->loop, 500_ms, "/head");
+    peer.send("HTTP/1.1 200 OK\r\nX-Answer: other\r\nContent-Length: 2\r\n\r\nab");
+    peer.send("HTTP/1.1 200 OK\r\nX-Answer: own\r\nContent-Length: 9\r\n\r\nab");
+    runUntil(this->loop, 500_ms, [&heads] { return heads.size() >= 2; });
+    peer.send("c");
+    this->waitForResults(1);
+    this->checkResult(0, HttpTransportStatus::TimedOut);
+    LONGS_EQUAL(2, heads.size());
+    STRCMP_EQUAL("other", heads[0].c_str());
+    STRCMP_EQUAL("own", heads[1].c_str());
+}
+
 // Guards against taking the response to an earlier request for the response to the next one.
 TEST(HttpClientPool, SkipsResponsesToOtherRequests)
 {
