Play leaving targets and waits in the soak

The soak did not play the two new statements of targets. It now has targets that say they leave (with drains that overlap, replaced or restarted under the same identity) and targets that turn requests away with Retry-After, one or all of a service, and checks both rules from what targets and callers saw; only a restart or pause of the node excuses a breach.

--- a/Scripts/gateway_soak.py
+++ b/Scripts/gateway_soak.py
@@ -44,6 +44,11 @@
 DEADLINE_MS = 1000
 # Bound on a node's peak memory on a machine of 160 MB, whatever targets, callers, relays and the store send.
 MEMORY_MB = 48
+# Time after which requests that were on their way to a target that wants none have arrived, and the number of later ones
+# that may reach it.
+TRANSIT_S, WAIT_ARRIVALS = 0.5, 2
+# Faults that the seeds before them were found without; a seed plays the same faults only among the same names.
+NEWER_FAULTS = frozenset({"fault_target_leaves", "fault_target_turns_away"})
 # Tolerance beyond the deadline, for scheduling delays on a busy machine.
 DEADLINE_SLACK_S = 0.5
 
@@ -99,6 +104,9 @@
         self.disturbances = []
         # Time of the announcement and target, by identity.
         self.drains = {}
+        # Targets that said in their answers that they leave, with the time since which they do, and the time of their
+        # restart if there was one.
+        self.leavings = []
         # Time of publication by the path prefix of the version's route.
         self.published_at = {}
 
@@ -122,8 +130,9 @@
 class Soak:
     """One seeded run."""
 
-    def __init__(self, seed, folder, report):
+    def __init__(self, seed, folder, report, without=frozenset()):
         self.random = random.Random(seed)
+        self.without = without
         self.seed = seed
         self.report = report
         self.history = History()
@@ -320,6 +329,42 @@
             time.sleep(0.5)
             self.replace_stopped(target)
 
+    def fault_target_leaves(self, seconds):
+        """A target says in all its answers that it leaves and at times drains; then it is replaced or restarts."""
+        target = self.pick(self.targets)
+        if target:
+            target.leaving = True
+            self.history.leavings.append((time.monotonic(), target))
+            if self.random.random() < 0.5:
+                time.sleep(seconds / 2)
+                target.drain()
+                self.history.drains[target.identity] = (time.monotonic(), target)
+            time.sleep(DRAIN_S + seconds)
+            target.crash()
+            if self.random.random() < 0.5:
+                self.store.delete(f"servers/{target.identity}")
+                time.sleep(0.5)
+                self.replace_stopped(target)
+                return
+            # The same identity in a newer incarnation.
+            self.stopped_targets.append(target)
+            self.targets.remove(target)
+            self.targets.append(ProxiedTarget(self.store, target.identity, target.service, target.zone, target.port))
+            self.release(target)
+
+    def fault_target_turns_away(self, seconds):
+        """One target, or all of a service, refuse requests and say how long they want none."""
+        service = self.random.choice((None, *SHARDS, "single"))
+        targets = [target for target in self.targets if service in (None, target.service)]
+        chosen = [self.pick([target]) for target in (targets if service else [self.random.choice(targets)])]
+        for target in filter(None, chosen):
+            target.retry_after = self.random.choice((0.3, 1, 2.5))
+            target.behaviour = "shed"
+        time.sleep(seconds)
+        for target in filter(None, chosen):
+            target.behaviour = target.retry_after = None
+            self.release(target)
+
     def replace_stopped(self, target):
         """Replaces a stopped target by a new one with another identity at the same address."""
         self.stopped_targets.append(target)
@@ -394,7 +439,7 @@
 
     def inject(self, seconds):
         """Starts overlapping faults, one every 0.2 to 1.5 s, for the given time, and waits until all have ended."""
-        names = sorted(name for name in dir(self) if name.startswith("fault_"))
+        names = sorted(name for name in dir(self) if name.startswith("fault_") and name not in self.without)
         threads = []
         end = time.monotonic() + seconds
         while time.monotonic() < end:
@@ -475,6 +520,8 @@
         self.check_runs()
         self.check_versions()
         self.check_drains()
+        self.check_leavings()
+        self.check_waits()
         self.check_extra_attempts()
         answered = sum(1 for call in self.calls if call["status"] == 200)
         self.soak.report(f"seed {self.soak.seed}: {len(self.calls)} requests, {answered} answered with success, "
@@ -565,6 +612,50 @@
                 self.found_breaches.append(f"DRAIN: {identity} received {late[0]['id']} "
                                            f"{late[0]['at'] - announced:.2f} s after it announced that it drains")
 
+    def check_leavings(self):
+        """A node that passed on an answer of a leaving target sends it nothing later than DRAIN_S afterwards.
+
+        Only a restart or a pause of the node in between excuses it.
+        """
+        sent = {call["id"]: call for call in self.calls}
+        for since, target in self.soak.history.leavings:
+            ran = {run["id"] for run in target.runs if run["at"] > since}
+            told = {}
+            for call in sorted(self.calls, key=lambda entry: entry["end"]):
+                stamped = any(stamp.split(".")[0] == target.identity for stamp in call["stamps"])
+                if call["status"] == 200 and stamped and call["id"] in ran:
+                    told.setdefault((call["node"], call["pid"]), call["end"])
+            for arrival in target.arrivals:
+                call = sent.get(arrival["id"])
+                passed_on = told.get((call["node"], call["pid"])) if call else None
+                if passed_on and call["at"] > passed_on + DRAIN_S \
+                        and not self.was_node_disturbed(call["node"], passed_on, arrival["at"]):
+                    self.found_breaches.append(
+                        f"DRAIN: {target.identity} received {arrival['id']} {arrival['at'] - passed_on:.2f} s after node "
+                        f"{call['node']} had passed on that it leaves")
+                    break
+
+    def check_waits(self):
+        """At most WAIT_ARRIVALS requests of a node reach a target that has told it to wait, apart from those in transit."""
+        sent = {call["id"]: call for call in self.calls}
+        for target in self.targets:
+            for at, request_id, seconds in target.waits:
+                refused = sent.get(request_id)
+                if not refused or self.was_node_disturbed(refused["node"], at, at + seconds):
+                    continue
+                early = [arrival for arrival in target.arrivals if at + TRANSIT_S < arrival["at"] < at + seconds
+                         and sent.get(arrival["id"], {}).get("node") == refused["node"]]
+                if len(early) > WAIT_ARRIVALS:
+                    self.found_breaches.append(f"BUDGET: {target.identity} received {len(early)} requests of node "
+                                               f"{refused['node']} within {seconds} s for which it wanted none")
+                    break
+
+    def was_node_disturbed(self, node, start, end):
+        """Whether the node was restarted or paused between two times."""
+        name = f"node {self.soak.nodes[node].name} "
+        return any(entry[2].startswith(name) and entry[0] <= end and (entry[1] is None or entry[1] >= start)
+                   for entry in self.soak.history.disturbances)
+
     def check_extra_attempts(self):
         """In every window, the requests that arrive at targets more than once stay within the shared budget."""
         sent = {call["id"]: call for call in self.calls}
@@ -583,10 +674,10 @@
                     break
 
 
-def run_seed(seed, seconds, report=print):
-    """Runs one seed and returns the breaches; keeps the logs if there are any."""
+def run_seed(seed, seconds, report=print, without=frozenset()):
+    """Runs one seed, without the named faults, and returns the breaches; keeps the logs if there are any."""
     with tempfile.TemporaryDirectory() as folder:
-        breaches = Soak(seed, folder, report).run(seconds)
+        breaches = Soak(seed, folder, report, without).run(seconds)
         if breaches:
             kept = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
             for log in pathlib.Path(folder).glob("*.log"):
