Close a connection that answers before its request was written

Cause: with the delay of requests on new connections, such an answer completed the exchange before it was sent; the timer then sent an exchange that was gone. A connection now fails when bytes arrive before its request was written, and the end of the connection completes nothing then. Nothing was sent, so the request goes to another target.

--- a/Libraries/Net/HttpClientPool.cpp
+++ b/Libraries/Net/HttpClientPool.cpp
@@ -204,8 +204,8 @@
 
         void onEnded(SocketChannel::End end)
         {
-            bool const complete = end == SocketChannel::End::PeerClosed && this->pending && this->receivedAny
-                && this->reader.finishAtClose() && !this->shouldSkipResponse();
+            bool const complete = end == SocketChannel::End::PeerClosed && this->pending && this->written
+                && this->receivedAny && this->reader.finishAtClose() && !this->shouldSkipResponse();
             if (complete)
                 this->finishExchange(false);
             else
@@ -221,6 +221,12 @@
                 this->fail("a response that nobody waits for");
                 return;
             }
+            // Nothing may answer an exchange of which nothing was written: the connection would be kept as idle with
+            // the request still to be sent.
+            if (!this->written) {
+                this->fail("a response before its request");
+                return;
+            }
             auto status = this->readResponse();
             while (status == Status::Complete && this->shouldSkipResponse()) {
                 if (++this->skipped > maximumSkippedResponses) {
--- a/Tests/Net/TestHttpClientPool.cpp
+++ b/Tests/Net/TestHttpClientPool.cpp
@@ -694,6 +694,28 @@
     this->checkResult(2, HttpTransportStatus::Answered);
 }
 
+// Guards against an answer that precedes its request: it answers nothing, and the process ended when the delayed request
+// was sent without its exchange. The bytes arrive in one piece, or the head before the delay ends and the body after it.
+TEST(HttpClientPool, AnswerAheadOfItsRequestIsNoAnswer)
+{
+    this->pool->expectResets(Clock::now() + 5000_ms);
+    auto const early = response("early");
+    for (auto const size : { early.size(), early.size() - 3, size_t { 4 } }) {
+        this->results.clear();
+        this->send("one");
+        auto peer = this->accept();
+        peer.send(std::string_view(early).substr(0, size));
+        auto const time = this->waitForResults(1);
+        CHECK(time < 20_ms);
+        this->checkResult(0, HttpTransportStatus::ConnectFailed);
+        peer.send(std::string_view(early).substr(size));
+        runUntil(this->loop, 80_ms, [] { return false; });
+        peer.receiveUntilClosed(this->loop, 200_ms);
+        STRCMP_EQUAL("", peer.received.c_str());
+        LONGS_EQUAL(0, this->pool->openConnections(this->listener.address()));
+    }
+}
+
 // Guards against sending a request after its exchange was cancelled during the delay.
 TEST(HttpClientPool, CancelledExchangeIsNotSentAfterTheDelay)
 {
