Send no body in answers to HEAD and with 204 and 304

Cause: the session wrote the body whatever the method was. It now sends none to HEAD, also when the request is refused while it is read, nor with 204 or 304. A forwarded answer to HEAD keeps the target's Content-Length.

--- a/Libraries/Gateway/GatewayRequest.cpp
+++ b/Libraries/Gateway/GatewayRequest.cpp
@@ -513,7 +513,13 @@
 void GatewayRequest::forwardReply(std::string_view result)
 {
     auto& reply = *this->parts.front().reply;
+    // The length that the response to GET would have; it frames nothing here.
+    std::string const lengthOfGet = this->request.head.getMethod() == Poco::Net::HTTPRequest::HTTP_HEAD
+        ? reply.head.get("Content-Length", "")
+        : "";
     removeConnectionFields(reply.head);
+    if (!lengthOfGet.empty() && lengthOfGet.find_first_not_of("0123456789") == std::string::npos)
+        reply.head.set("Content-Length", lengthOfGet);
     this->answer({ reply.head, std::move(reply.body), std::move(reply.memory) }, result);
 }
 
--- a/Libraries/Net/HttpServerSession.cpp
+++ b/Libraries/Net/HttpServerSession.cpp
@@ -159,10 +159,25 @@
     this->sendResponse(head, std::move(body));
 }
 
+bool HttpServerSession::answersHead()
+{
+    // The bytes of a head that was not read completely are still in the input.
+    return this->reader.request().getMethod() == Poco::Net::HTTPRequest::HTTP_HEAD
+        || (!this->reader.hasHead() && this->channel->input().starts_with("HEAD "));
+}
+
 void HttpServerSession::sendResponse(HTTPResponse& head, std::string body, std::shared_ptr<void const> bodyMemory)
 {
     head.setVersion(HTTPResponse::HTTP_1_1);
-    head.setContentLength(static_cast<std::streamsize>(body.size()));
+    bool const answersHead = this->answersHead();
+    auto const status = head.getStatus();
+    // RFC 9110, section 8.6: no Content-Length with 204.
+    if (status == HTTPResponse::HTTP_NO_CONTENT)
+        head.erase(HTTPResponse::CONTENT_LENGTH);
+    else if (status != HTTPResponse::HTTP_NOT_MODIFIED && (!answersHead || !body.empty()))
+        head.setContentLength(static_cast<std::streamsize>(body.size()));
+    if (answersHead || status == HTTPResponse::HTTP_NO_CONTENT || status == HTTPResponse::HTTP_NOT_MODIFIED)
+        body.clear();
     head.set("Connection", this->keepAlive ? "keep-alive" : "close");
     std::ostringstream text;
     head.write(text);
--- a/Tests/Gateway/GatewayFixture.h
+++ b/Tests/Gateway/GatewayFixture.h
@@ -170,10 +170,11 @@
         this->addTarget("far", "store", "graz-a");
     }
 
-    std::shared_ptr<GatewayRequest> request(std::string const& path, std::string const& deadline = "800")
+    std::shared_ptr<GatewayRequest> request(
+        std::string const& path, std::string const& deadline = "800", std::string const& method = "GET")
     {
         ProxiedRequest request;
-        request.head = Poco::Net::HTTPRequest("GET", path, "HTTP/1.1");
+        request.head = Poco::Net::HTTPRequest(method, path, "HTTP/1.1");
         request.head.set("Host", "front.example");
         request.head.set("Toucan-Request-Id", "r1");
         if (!deadline.empty())
--- a/Tests/Gateway/TestGatewayRequest.cpp
+++ b/Tests/Gateway/TestGatewayRequest.cpp
@@ -65,6 +65,18 @@
     STRCMP_EQUAL("body", fixture.answers[0].body.c_str());
 }
 
+// Guards against an answer to HEAD that states another length than the target did.
+TEST(ForwardedRequest, AnswerToHeadKeepsItsLength)
+{
+    fixture.installForwarded(Repeatability::Idempotent);
+    fixture.request("/fetch/1", "800", "HEAD");
+    fixture.reply(0, 200, "", "s", { { "Content-Length", "1234" } });
+    STRCMP_EQUAL("1234", fixture.header("Content-Length").c_str());
+    fixture.request("/fetch/1");
+    fixture.reply(1, 200, "body", "s", { { "Content-Length", "1234" } });
+    STRCMP_EQUAL("", fixture.header("Content-Length", 1).c_str());
+}
+
 // Guards against a target that runs the request longer than the caller or the route waits.
 TEST(ForwardedRequest, SendsTheRemainingTime)
 {
--- a/Tests/Net/TestHttpClientPool.cpp
+++ b/Tests/Net/TestHttpClientPool.cpp
@@ -694,8 +694,9 @@
     this->checkResult(2, HttpTransportStatus::Answered);
 }
 
-// Guards against an answer that precedes its request: it answers nothing, and the process ended when the delayed request
-// was sent without its exchange. The bytes arrive in one piece, or the head before the delay ends and the body after it.
+// Guards against an answer that precedes its request: it answers nothing, and the process ended when the delayed
+// request was sent without its exchange. The bytes arrive in one piece, or the head before the delay ends and the body
+// after it.
 TEST(HttpClientPool, AnswerAheadOfItsRequestIsNoAnswer)
 {
     this->pool->expectResets(Clock::now() + 5000_ms);
--- a/Tests/Net/TestHttpServerSession.cpp
+++ b/Tests/Net/TestHttpServerSession.cpp
@@ -45,6 +45,7 @@
     std::vector<HttpServerSession::Pointer> running;
     int disconnected { 0 };
     bool answerAtOnce { true };
+    Poco::Net::HTTPResponse::HTTPStatus answerStatus { Poco::Net::HTTPResponse::HTTP_OK };
     std::unique_ptr<HttpServer> server;
 
     void setup() override
@@ -67,13 +68,47 @@
     }
     void answer(HttpServerSession::Pointer const& session, std::string const& body)
     {
-        Poco::Net::HTTPResponse head;
+        Poco::Net::HTTPResponse head(this->answerStatus);
         session->respond(head, body);
     }
     RawPeer connect() { return RawPeer(this->server->address()); }
 };
 // clang-format on
 
+// Guards against a body behind the head of an answer that has none, which the peer takes for its next answer: of any
+// own answer to HEAD, also while the request is being read, and of answers with 204 and 304.
+TEST(HttpServerSession, AnswersWithoutABodySendNone)
+{
+    auto const headOf = [this](std::string const& bytes, bool later = false) {
+        RawPeer peer(this->server->address());
+        peer.send(bytes);
+        if (later)
+            peer.receiveUntilClosed(this->loop, 500_ms);
+        else
+            peer.receiveUntilText(this->loop, 500_ms, "\r\n\r\n");
+        runUntil(this->loop, 20_ms, [] { return false; });
+        peer.receive();
+        auto const end = peer.received.find("\r\n\r\n");
+        CHECK_TEXT(end != std::string::npos, bytes.c_str());
+        CHECK_EQUAL(std::string(), peer.received.substr(end + 4));
+        return peer.received;
+    };
+    this->answerAtOnce = true;
+    // The test's server answers with the body of the request.
+    auto const answer = headOf("HEAD /echo HTTP/1.1\r\nHost: test\r\nContent-Length: 4\r\n\r\nbody");
+    STRCMP_CONTAINS("Content-Length: 4\r\n", answer.c_str());
+    STRCMP_CONTAINS(" 400 ", headOf("HEAD /echo HTTP/1.1\r\nHost : test\r\n\r\n").c_str());
+    STRCMP_CONTAINS(" 413 ", headOf("HEAD /echo HTTP/1.1\r\nHost: test\r\nContent-Length: 9999\r\n\r\n").c_str());
+    STRCMP_CONTAINS(" 431 ", headOf("HEAD /echo HTTP/1.1\r\nHost: test\r\nX: " + std::string(3000, 'a')).c_str());
+    STRCMP_CONTAINS(" 408 ", headOf("HEAD /echo HTTP/1.1\r\nHost: te", true).c_str());
+    STRCMP_CONTAINS(" 408 ", headOf("HEAD /echo HTTP/1.1\r\nHost: test\r\nContent-Length: 4\r\n\r\nb", true).c_str());
+    for (auto const status : { Poco::Net::HTTPResponse::HTTP_NO_CONTENT, Poco::Net::HTTPResponse::HTTP_NOT_MODIFIED }) {
+        this->answerStatus = status;
+        auto const text = headOf(post("Content-Length: 4\r\n", "body"));
+        CHECK(text.find("Content-Length") == std::string::npos);
+    }
+}
+
 // Guards against a persistent connection that is closed after one request.
 TEST(HttpServerSession, KeepsTheConnectionBetweenRequests)
 {
