Cancel unsent attempts of every route when the caller leaves

Cause: only idempotent routes were cancelled, as the outcome of a sent request must stay known. An attempt of which nothing was written is now cancelled on every route.

Test: ForwardedRequest, UnsentAttemptEndsWithItsCaller failed before.

--- a/Libraries/Gateway/GatewayRequest.cpp
+++ b/Libraries/Gateway/GatewayRequest.cpp
@@ -599,7 +599,8 @@
                 { "late", late ? "yes" : "no" }, { "extra", std::to_string(this->extraAttempts) },
                 { "missing", missing } });
     }
-    this->cancelWaitingAttempts();
+    if (this->context.mechanisms.isEnabled(Mechanism::WaitingAttemptCancellation))
+        this->cancelUnsentAttempts();
     bool const attemptsRunning = std::any_of(
         this->parts.begin(), this->parts.end(), [](Part const& part) { return part.runningAttempts() > 0; });
     if (attemptsRunning)
@@ -617,10 +618,8 @@
         attempt.cancel();
 }
 
-void GatewayRequest::cancelWaitingAttempts()
+void GatewayRequest::cancelUnsentAttempts()
 {
-    if (!this->context.mechanisms.isEnabled(Mechanism::WaitingAttemptCancellation))
-        return;
     for (auto& part : this->parts) {
         for (auto& attempt : part.attempts) {
             if (attempt.running && !attempt.sent)
@@ -670,6 +669,8 @@
     this->context.log.line("caller-gone",
         { { "request", this->requestId },
             { "after_ms", Poco::NumberFormatter::format((this->now() - this->receivedAt).value, 1) } });
+    // Nobody waits for an answer, so what has not been sent is not sent, whatever the route.
+    this->cancelUnsentAttempts();
     this->cancelAttempts();
     this->sendAnswer = nullptr;
 }
--- a/Libraries/Gateway/GatewayRequest.h
+++ b/Libraries/Gateway/GatewayRequest.h
@@ -27,8 +27,9 @@
         Route const& route, std::vector<std::string> services, ProxiedRequest&& request, Answered sendAnswer);
 
     void start();
-    /// Called when the caller has disconnected. Attempts of an idempotent request are cancelled; a non-idempotent one
-    /// runs to its end at the target, because cancelling it would leave its outcome unknown.
+    /// Called when the caller has disconnected. Attempts of an idempotent request are cancelled, and those that have not
+    /// been sent. A non-idempotent one that was sent runs to its end at the target, because cancelling it would leave its
+    /// outcome unknown.
     void abandon();
     /// Called when the node stops: answers at once, with the parts that have arrived if they suffice, else with an
     /// error.
@@ -132,7 +133,7 @@
     void cancelAttempts();
     /// Cancels the attempts that have not been sent, so that they don't take a connection from requests that can still
     /// be answered.
-    void cancelWaitingAttempts();
+    void cancelUnsentAttempts();
     void cancelAttempt(Attempt& attempt, GatewayTarget::Result result);
 
     GatewayContext& context;
--- a/Tests/Gateway/TestGatewayRequest.cpp
+++ b/Tests/Gateway/TestGatewayRequest.cpp
@@ -225,6 +225,16 @@
     LONGS_EQUAL(0, fixture.answers.size());
 }
 
+// Guards against a request that waits for a connection and is sent after its caller has left.
+TEST(ForwardedRequest, UnsentAttemptEndsWithItsCaller)
+{
+    fixture.installForwarded(Repeatability::NonIdempotent);
+    fixture.connectionsAreFree = false;
+    auto const request = fixture.request("/fetch/1");
+    request->abandon();
+    CHECK(fixture.sent[0]->cancelled);
+}
+
 // Guards against sending a request to a target that began to drain, moved, restarted or was removed while the request
 // waited for a connection to it: the target ends before it has run the request.
 TEST(ForwardedRequest, RequestThatWaitsForAConnectionLeavesAWithdrawnTarget)
