--- a/Libraries/Net/HttpClientPool.cpp
+++ b/Libraries/Net/HttpClientPool.cpp
@@ -46,7 +46,8 @@
     std::optional<Milliseconds> keepAliveTimeout(Poco::Net::HTTPResponse const& head)
     {
         constexpr std::string_view parameter = "timeout=";
-        auto const& value = head.get("Keep-Alive", "");
+        // Copied: get() returns a reference to its second argument when the field is missing.
+        auto const value = head.get("Keep-Alive", "");
         auto const start = value.find(parameter);
         if (start == std::string::npos)
             return std::nullopt;
