--- a/Libraries/Gateway/GatewayRequest.h
+++ b/Libraries/Gateway/GatewayRequest.h
@@ -27,9 +27,9 @@
         Route const& route, std::vector<std::string> services, ProxiedRequest&& request, Answered sendAnswer);
 
     void start();
-    /// Called when the caller has disconnected. Attempts of an idempotent request are cancelled, and those that have not
-    /// been sent. A non-idempotent one that was sent runs to its end at the target, because cancelling it would leave its
-    /// outcome unknown.
+    /// Called when the caller has disconnected. Attempts of an idempotent request are cancelled, and those that have
+    /// not been sent. A non-idempotent one that was sent runs to its end at the target, because cancelling it would
+    /// leave its outcome unknown.
     void abandon();
     /// Called when the node stops: answers at once, with the parts that have arrived if they suffice, else with an
     /// error.
--- a/Libraries/Net/HttpServerSession.h
+++ b/Libraries/Net/HttpServerSession.h
@@ -65,10 +65,9 @@
     static Pointer start(
         EventLoop& loop, Poco::Net::StreamSocket const& socket, HttpServerLimits const& limits, Hooks hooks);
 
-    /// Responds to the running request. Sets Content-Length and Connection in `head`. The body is not sent in response to
-    /// HEAD or with status 204 or 304 (RFC 9112, section 6.3); a head without a body in response to HEAD keeps its own
-    /// Content-Length. `memory` is held until the
-    /// response was given to the kernel.
+    /// Responds to the running request. Sets Content-Length and Connection in `head`. The body is not sent in response
+    /// to HEAD or with status 204 or 304 (RFC 9112, section 6.3); a head without a body in response to HEAD keeps its
+    /// own Content-Length. `memory` is held until the response was given to the kernel.
     void respond(Poco::Net::HTTPResponse& head, std::string body, std::shared_ptr<void const> memory = {});
     /// Responds with an error and closes the connection.
     void refuse(HttpError const& error);
