Let the registry tell the order of a target's incarnations

Found in the review by reading, now shown by a test: a target that restarts under its id after its time of day was set back has an earlier start time. Its registrations, and its draining, were ignored as outdated.

Registrations of different incarnations are now ordered by their revision in the registry; within one incarnation its own sequence decides, as before.

Test: RegistrySync, RegistryTellsTheOrderOfIncarnations failed before.

--- a/Libraries/Gateway/RegistrySync.cpp
+++ b/Libraries/Gateway/RegistrySync.cpp
@@ -330,6 +330,7 @@
         this->registryRelay.append(events, this->revision);
     for (auto& event : events) {
         if (auto* const put = std::get_if<TargetPut>(&event.change)) {
+            put->registration.revision = event.revision;
             this->context.directory.put(std::move(put->registration), now);
         } else if (auto const* const removed = std::get_if<TargetRemoved>(&event.change)) {
             this->context.directory.remove(removed->id, this->removal(), this->keepUntil());
@@ -352,9 +353,10 @@
         this->registryRelay.reset(events, revision);
     std::vector<TargetRegistration> registrations;
     for (auto& event : events) {
-        if (auto* const put = std::get_if<TargetPut>(&event.change))
+        if (auto* const put = std::get_if<TargetPut>(&event.change)) {
+            put->registration.revision = event.revision;
             registrations.push_back(std::move(put->registration));
-        else if (auto* const configuration = std::get_if<ConfigurationPut>(&event.change))
+        } else if (auto* const configuration = std::get_if<ConfigurationPut>(&event.change))
             this->gateway.install(std::move(configuration->configuration));
         else if (auto const* const unusable = std::get_if<UnusableEntry>(&event.change))
             this->logUnusable(*unusable);
--- a/Libraries/Gateway/TargetRegistration.h
+++ b/Libraries/Gateway/TargetRegistration.h
@@ -28,17 +28,22 @@
     uint64_t incarnation { 0 };
     /// Increases with each write of one incarnation.
     uint64_t sequence { 0 };
+    /// Revision of the registry at which the entry was written; 0 when unknown.
+    uint64_t revision { 0 };
 
-    /// Whether it equals `other` apart from the sequence.
+    /// Whether it equals `other` apart from the sequence and the revision.
     bool hasSameContentAs(TargetRegistration const& other) const
     {
         return this->service == other.service && this->address == other.address
             && this->failureDomain == other.failureDomain && this->slots == other.slots && this->state == other.state
             && this->warmUpLeft == other.warmUpLeft && this->incarnation == other.incarnation;
     }
-    /// Whether the same target wrote this registration before `other`.
+    /// Whether the same target wrote this registration before `other`. The registry tells the order of incarnations: a
+    /// target whose time of day was set back has an earlier start time after its restart.
     bool isOlderThan(TargetRegistration const& other) const
     {
+        if (this->incarnation != other.incarnation && this->revision && other.revision)
+            return this->revision < other.revision;
         if (this->incarnation != other.incarnation)
             return this->incarnation < other.incarnation;
         return this->sequence < other.sequence;
--- a/Tests/Gateway/TestRegistrySync.cpp
+++ b/Tests/Gateway/TestRegistrySync.cpp
@@ -180,6 +180,31 @@
     LONGS_EQUAL(20, watches.at(1).first);
 }
 
+// Guards against ignoring a restarted target, and its draining, because its time of day was set back before the restart,
+// and against an older state of an entry that replaces a newer one.
+TEST(RegistrySync, RegistryTellsTheOrderOfIncarnations)
+{
+    sync.start();
+    TargetRegistration registration;
+    registration.id = "t1";
+    registration.service = "s";
+    registration.incarnation = 100;
+    registration.sequence = 7;
+    lists[0](reply(7, { TargetPut { registration } }));
+    registration.incarnation = 90;
+    registration.sequence = 1;
+    registration.state = TargetRegistration::State::Draining;
+    watches[0].second(reply(8, { TargetPut { registration } }));
+    CHECK(fixture.gateway.sharedContext().directory.find("t1")->isDraining());
+    fixture.advance(300_ms);
+    registration.incarnation = 100;
+    registration.state = TargetRegistration::State::Serving;
+    auto older = reply(9, {});
+    older.events = events(7, { TargetPut { registration } });
+    watches[1].second(std::move(older));
+    CHECK(fixture.gateway.sharedContext().directory.find("t1")->isDraining());
+}
+
 // Guards against an invalid entry that prevents others from being read, or that leaves its target in use.
 TEST(RegistrySync, UnusableEntryRemovesItsTarget)
 {
