Take changes from a relay while the registry refuses one node

After each failed watch a relay now polls another relay, without waiting, and reports the age of that state to its followers; the store is called again with the usual delay. A node whose list call fails copies from a relay, also when it has entries, unless the copy is older than these.

Tests: RegistrySync, RefusedRelayTakesChangesFromAnotherOne and FollowerWithoutHistoryCopiesFromAnotherRelay failed before.

--- a/Libraries/Gateway/RegistrySync.cpp
+++ b/Libraries/Gateway/RegistrySync.cpp
@@ -123,6 +123,36 @@
         [this, &relay](RelayUpdate&& update) { this->onFollowed(relay, std::move(update)); });
 }
 
+void RegistrySync::pollRelay()
+{
+    auto* const relay = this->chooseRelay();
+    if (!relay) {
+        this->retryLater(&RegistrySync::watch);
+        return;
+    }
+    this->hooks.follow(relay->address, { this->revision, relay->lastObservation, {} },
+        [this, relay](RelayUpdate&& update) { this->onPolled(*relay, std::move(update)); });
+}
+
+void RegistrySync::onPolled(Relay& relay, RelayUpdate&& update)
+{
+    if (update.status == RegistryStatus::Ok) {
+        this->applyObservations(update.observations);
+        relay.lastObservation = update.lastObservation;
+    }
+    bool const recent = update.status == RegistryStatus::Ok && update.age <= maximumStaleness;
+    if (recent && update.revision >= this->revision) {
+        relay.failureDomain = update.failureDomain;
+        relay.followers = update.followers;
+        // The followers of this relay must not take its state for more recent than the other relay's.
+        this->lastContactAt = std::max(this->lastContactAt, this->now() - update.age);
+        this->applyChanges(std::move(update.events), update.revision);
+    } else {
+        relay.blockedUntil = this->now() + relayBlockTime;
+    }
+    this->retryLater(&RegistrySync::watch);
+}
+
 void RegistrySync::copyFromRelay()
 {
     auto* const relay = this->chooseRelay();
@@ -138,10 +168,7 @@
 {
     if (reply.status != RegistryStatus::Ok) {
         this->onFailure(reply.reason, "list");
-        if (this->loaded)
-            this->retryLater(&RegistrySync::listLatest);
-        else
-            this->copyFromRelay();
+        this->copyFromRelay();
         return;
     }
     this->lastContactAt = this->now();
@@ -154,14 +181,17 @@
 
 void RegistrySync::onCopied(Relay& relay, RelayUpdate&& update)
 {
-    if (update.status == RegistryStatus::Ok && update.age <= maximumStaleness) {
+    // A node that has entries keeps them rather than older ones.
+    bool const older = this->loaded && update.revision < this->revision;
+    if (update.status == RegistryStatus::Ok && update.age <= maximumStaleness && !older) {
         this->confirmed = true;
         this->installCopy(relay, std::move(update));
         return;
     }
     relay.blockedUntil = this->now() + relayBlockTime;
     // A relay that has lost the registry for long may name removed targets, so the other relays are tried first.
-    if (update.status == RegistryStatus::Ok && (!this->staleCopy || update.age < this->staleCopy->age))
+    bool const youngest = !this->staleCopy || update.age < this->staleCopy->age;
+    if (update.status == RegistryStatus::Ok && !this->loaded && youngest)
         this->staleCopy = std::move(update);
     if (this->chooseRelay())
         this->copyFromRelay();
@@ -190,7 +220,10 @@
     }
     if (reply.status == RegistryStatus::Failed) {
         this->onFailure(reply.reason, "watch");
-        this->retryLater(&RegistrySync::waitForChanges);
+        if (this->isRelay)
+            this->pollRelay();
+        else
+            this->retryLater(&RegistrySync::waitForChanges);
         return;
     }
     this->lastContactAt = this->now();
--- a/Libraries/Gateway/RegistrySync.h
+++ b/Libraries/Gateway/RegistrySync.h
@@ -81,6 +81,10 @@
     void waitForChanges();
     void watch();
     void follow(Relay& relay);
+    /// Requests changes from another relay, without waiting for new ones, after the registry has failed this relay: it
+    /// may refuse this node alone. The registry itself is called again with the usual delay.
+    void pollRelay();
+    void onPolled(Relay& relay, RelayUpdate&& update);
     Relay* chooseRelay();
     void onListed(Freshness freshness, RegistryReply&& reply);
     void onCopied(Relay& relay, RelayUpdate&& update);
--- a/Tests/Gateway/TestRegistrySync.cpp
+++ b/Tests/Gateway/TestRegistrySync.cpp
@@ -180,8 +180,8 @@
     LONGS_EQUAL(20, watches.at(1).first);
 }
 
-// Guards against ignoring a restarted target, and its draining, because its time of day was set back before the restart,
-// and against an older state of an entry that replaces a newer one.
+// Guards against ignoring a restarted target, and its draining, because its time of day was set back before the
+// restart, and against an older state of an entry that replaces a newer one.
 TEST(RegistrySync, RegistryTellsTheOrderOfIncarnations)
 {
     sync.start();
@@ -426,6 +426,59 @@
     LONGS_EQUAL(1, watches.size());
 }
 
+// Guards against a relay that stays on old entries, and passes them on as recent, while the registry refuses it alone.
+TEST(RegistrySync, RefusedRelayTakesChangesFromAnotherOne)
+{
+    relay.start();
+    lists.at(0)(reply(5, { target("t1"), configuration(3) }));
+    fixture.advance(1500_ms);
+    watches.at(0).second(failure());
+    LONGS_EQUAL(1, follows.size());
+    STRCMP_EQUAL("relay-2", follows[0].first.c_str());
+    LONGS_EQUAL(5, relayRequests[0].revision);
+    DOUBLES_EQUAL(0, relayRequests[0].wait.value, 0);
+    follows[0].second(update(6, { configuration(4) }, 200_ms));
+    LONGS_EQUAL(4, fixture.gateway.version());
+    RelayUpdate described;
+    relay.addRelayStatus(described);
+    DOUBLES_EQUAL(200, described.age.value, 1e-9);
+    LONGS_EQUAL(1, relay.relay().changesAfter(5).events.size());
+    // The registry is called again, and an outage of the registry for all nodes is not hidden.
+    fixture.advance(300_ms);
+    LONGS_EQUAL(2, watches.size());
+    watches[1].second(failure());
+    follows.at(1).second(update(6, {}, 60000_ms));
+    relay.addRelayStatus(described);
+    CHECK(described.age >= 500_ms);
+    fixture.advance(600_ms);
+    LONGS_EQUAL(3, watches.size());
+    watches[2].second(failure());
+    // The other relay is outdated too, so it is not asked again at once.
+    LONGS_EQUAL(2, follows.size());
+}
+
+// Guards against a follower that waits for the registry, which refuses it, after its relay has lost the history.
+TEST(RegistrySync, FollowerWithoutHistoryCopiesFromAnotherRelay)
+{
+    follower.start();
+    lists.at(0)(reply(5, { target("t1"), configuration(3) }));
+    follows.at(0).second(failedUpdate(RegistryStatus::HistoryLost));
+    lists.at(1)(failure());
+    LONGS_EQUAL(1, copies.size());
+    // A copy that is older than what the node has is not used.
+    copies[0](update(4, { configuration(2) }, 100_ms));
+    LONGS_EQUAL(1, targets());
+    fixture.advance(500_ms);
+    LONGS_EQUAL(3, lists.size());
+    lists[2](failure());
+    fixture.advance(1200_ms);
+    lists.at(3)(failure());
+    copies.at(1)(update(9, { target("t2"), configuration(4) }, 100_ms));
+    LONGS_EQUAL(4, fixture.gateway.version());
+    CHECK(fixture.gateway.sharedContext().directory.find("t2") != nullptr);
+    CHECK(fixture.gateway.sharedContext().directory.find("t1") == nullptr);
+}
+
 // Guards against followers that remove targets whose entries expired in an outage that only the relay observed.
 TEST(RegistrySync, RelayReportsTheOutageToFollowers)
 {
