--- a/Libraries/Gateway/AttemptOutcome.cpp
+++ b/Libraries/Gateway/AttemptOutcome.cpp
@@ -101,8 +101,13 @@
 
 void removeConnectionFields(Poco::Net::HTTPMessage& head)
 {
+    std::string connection;
+    for (auto const& [name, value] : head) {
+        if (Poco::icompare(name, "Connection") == 0)
+            connection += value + ",";
+    }
     Poco::StringTokenizer const named(
-        head.get("Connection", ""), ",", Poco::StringTokenizer::TOK_TRIM | Poco::StringTokenizer::TOK_IGNORE_EMPTY);
+        connection, ",", Poco::StringTokenizer::TOK_TRIM | Poco::StringTokenizer::TOK_IGNORE_EMPTY);
     for (auto const& name : named) {
         // A caller must not be able to remove the fields that identify its request.
         if (Poco::icompare(name, "Host") != 0)
--- a/Libraries/Gateway/GatewayRequest.cpp
+++ b/Libraries/Gateway/GatewayRequest.cpp
@@ -298,6 +298,7 @@
     if (!attempt.running)
         return;
     attempt.running = false;
+    attempt.cancel = nullptr;
     auto const outcome = outcomeOf(reply, this->context.headers);
     this->recordOutcome(attempt, outcome, reply);
     bool const mayHaveRun = outcome == AttemptOutcome::Success || outcome == AttemptOutcome::TargetFailed
@@ -614,8 +615,8 @@
 {
     attempt.running = false;
     attempt.target->onEnded(result, attempt.sentAt, std::nullopt, this->now());
-    if (attempt.cancel)
-        attempt.cancel();
+    if (auto const cancel = std::exchange(attempt.cancel, nullptr))
+        cancel();
 }
 
 void GatewayRequest::cancelUnsentAttempts()
--- a/Tests/Gateway/GatewayFixture.h
+++ b/Tests/Gateway/GatewayFixture.h
@@ -44,6 +44,19 @@
     {
     }
 
+    ~GatewayFixture()
+    {
+        // Requests, attempts and timers that have not ended hold each other.
+        for (auto const& entry : this->sent) {
+            entry->message = {};
+            entry->done = nullptr;
+        }
+        for (auto const& timer : this->timers)
+            timer->task = nullptr;
+    }
+    GatewayFixture(GatewayFixture const&) = delete;
+    GatewayFixture& operator=(GatewayFixture const&) = delete;
+
     GatewayHooks hooks()
     {
         GatewayHooks result;
