--- a/Libraries/Gateway/TargetNotice.cpp
+++ b/Libraries/Gateway/TargetNotice.cpp
@@ -1,13 +1,13 @@
 #include "Gateway/TargetNotice.h"
 
 #include <Poco/DateTime.h>
-#include <Poco/DateTimeFormat.h>
 #include <Poco/DateTimeParser.h>
 #include <Poco/NumberParser.h>
 #include <Poco/String.h>
 #include <Poco/Timestamp.h>
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace Toucan {
 
@@ -22,12 +22,12 @@
 {
     Poco::DateTime date;
     int zone = 0;
-    for (auto const& format : { Poco::DateTimeFormat::HTTP_FORMAT, Poco::DateTimeFormat::RFC850_FORMAT,
-             Poco::DateTimeFormat::ASCTIME_FORMAT }) {
-        if (Poco::DateTimeParser::tryParse(format, text, date, zone))
-            return date.timestamp();
-    }
-    return std::nullopt;
+    // The form is detected by the text: with a given format, POCO's parser reads a year of two digits as one of the
+    // first century.
+    if (!Poco::DateTimeParser::tryParse(text, date, zone))
+        return std::nullopt;
+    date.makeUTC(zone);
+    return date.timestamp();
 }
 
 static std::optional<Milliseconds> readWait(std::string const& text, HTTPResponse const& head)
@@ -35,6 +35,9 @@
     double seconds = 0;
     if (Poco::NumberParser::tryParseFloat(text, seconds))
         return Milliseconds { seconds * millisecondsPerSecond };
+    // A number beyond the range of double.
+    if (!text.empty() && text.find_first_not_of("0123456789") == std::string::npos)
+        return Milliseconds { std::numeric_limits<double>::infinity() };
     auto const end = readDate(text);
     if (!end)
         return std::nullopt;
--- a/Tests/Gateway/TestTargetNotice.cpp
+++ b/Tests/Gateway/TestTargetNotice.cpp
@@ -19,16 +19,25 @@
     return readNotice(head, {});
 }
 
+/// Milliseconds of the wait; negative without one.
+static double waitOf(std::vector<std::string> const& retryAfter, std::string const& date = "")
+{
+    return noticeOf(retryAfter, 503, date).wait.value_or(Milliseconds { -1 }).value;
+}
+
 TEST_GROUP(TargetNotice) { GatewayFixture fixture; };
 
 // Guards against a wait that is read wrongly, and against one odd value that ends the use of a target or the process.
 TEST(TargetNotice, ReadsRetryAfter)
 {
-    DOUBLES_EQUAL(4000, noticeOf({ "4" }).wait->value, 1e-6);
-    DOUBLES_EQUAL(250, noticeOf({ "0.25" }).wait->value, 1e-6);
-    DOUBLES_EQUAL(
-        5000, noticeOf({ "Sun, 06 Nov 1994 08:49:42 GMT" }, 503, "Sun, 06 Nov 1994 08:49:37 GMT").wait->value, 1);
-    DOUBLES_EQUAL(5000, noticeOf({ "Sunday, 06-Nov-94 08:49:42 GMT" }, 503, "Sun Nov  6 08:49:37 1994").wait->value, 1);
+    DOUBLES_EQUAL(4000, waitOf({ "4" }), 1e-6);
+    DOUBLES_EQUAL(250, waitOf({ "0.25" }), 1e-6);
+    // The three forms of RFC 9110, section 5.6.7.
+    auto const* const now = "Sun, 06 Nov 1994 08:49:37 GMT";
+    for (auto const* const end :
+        { "Sun, 06 Nov 1994 08:49:42 GMT", "Sunday, 06-Nov-94 08:49:42 GMT", "Sun Nov  6 08:49:42 1994" })
+        DOUBLES_EQUAL(5000, waitOf({ end }, now), 1);
+    DOUBLES_EQUAL(5000, waitOf({ "Sun, 06 Nov 1994 08:49:42 GMT" }, "Sunday, 06-Nov-94 08:49:37 GMT"), 1);
     CHECK_FALSE(noticeOf({ "4" }, 200).wait);
     CHECK_FALSE(noticeOf({ "4" }, 421).wait);
     CHECK_FALSE(noticeOf({}).wait);
@@ -39,11 +48,11 @@
         CHECK_EQUAL(odd, notice.unusableWait);
     }
     for (auto const& huge : { std::string("1e9"), std::string(400, '9'), std::string("601") }) {
-        DOUBLES_EQUAL(600000, noticeOf({ huge }).wait->value, 1e-6);
+        DOUBLES_EQUAL(600000, waitOf({ huge }), 1e-6);
         CHECK_EQUAL(huge, noticeOf({ huge }).unusableWait);
     }
     auto const repeated = noticeOf({ "2", "x", "3" });
-    DOUBLES_EQUAL(3000, repeated.wait->value, 1e-6);
+    DOUBLES_EQUAL(3000, waitOf({ "2", "x", "3" }), 1e-6);
     STRCMP_EQUAL("x", repeated.unusableWait.c_str());
 }
 
