Keep connections that are being established when a request is answered

Cause: since requests are written only on established connections, the end of unsent attempts at the answer also closed connections that were being established.

Test: ScatteredRequest, ConnectionThatIsBeingEstablishedOutlivesTheAnswer.

--- a/Libraries/Gateway/GatewayMessages.h
+++ b/Libraries/Gateway/GatewayMessages.h
@@ -72,6 +72,8 @@
     bool needsFreshConnection { false };
     /// Whether the request may wait at this node when no connection to the target is free.
     bool mayWait { true };
+    /// Called when a connection, which may still have to be established, is assigned to the request.
+    std::function<void()> assigned;
     /// Whether the target may still receive the request; asked just before the request is sent.
     std::function<bool()> maySend;
     /// Called just before the request is sent; may update the remaining time after a wait for a connection.
--- a/Libraries/Gateway/GatewayRequest.cpp
+++ b/Libraries/Gateway/GatewayRequest.cpp
@@ -200,6 +200,9 @@
     message.maySend = [now = this->context.hooks.now, target, address = message.address, asLastResort] {
         return mayReceiveAssigned(*target, asLastResort, now()) && target->registration().address == address;
     };
+    message.assigned = [self = this->shared_from_this(), partIndex, attemptIndex] {
+        self->parts[partIndex].attempts[attemptIndex].onConnection = true;
+    };
     message.beforeSending = [self = this->shared_from_this(), partIndex, attemptIndex](Poco::Net::HTTPRequest& head) {
         self->parts[partIndex].attempts[attemptIndex].sent = true;
         self->setRemainingTime(head);
@@ -601,7 +604,7 @@
                 { "missing", missing } });
     }
     if (this->context.mechanisms.isEnabled(Mechanism::WaitingAttemptCancellation))
-        this->cancelUnsentAttempts();
+        this->cancelWaitingAttempts();
     bool const attemptsRunning = std::any_of(
         this->parts.begin(), this->parts.end(), [](Part const& part) { return part.runningAttempts() > 0; });
     if (attemptsRunning)
@@ -619,6 +622,16 @@
         cancel();
 }
 
+void GatewayRequest::cancelWaitingAttempts()
+{
+    for (auto& part : this->parts) {
+        for (auto& attempt : part.attempts) {
+            if (attempt.running && !attempt.onConnection)
+                this->cancelAttempt(attempt, GatewayTarget::Result::Abandoned);
+        }
+    }
+}
+
 void GatewayRequest::cancelUnsentAttempts()
 {
     for (auto& part : this->parts) {
--- a/Libraries/Gateway/GatewayRequest.h
+++ b/Libraries/Gateway/GatewayRequest.h
@@ -41,7 +41,9 @@
         Milliseconds sentAt;
         Canceller cancel;
         bool running { true };
-        /// Whether the request was written to a connection; until then the attempt waits at this node.
+        /// Whether a connection, which may still have to be established, is assigned to the attempt.
+        bool onConnection { false };
+        /// Whether the request was written to a connection.
         bool sent { false };
     };
     struct Part {
@@ -131,8 +133,11 @@
     /// Ends the request; its attempts may still run.
     void finish();
     void cancelAttempts();
-    /// Cancels the attempts that have not been sent, so that they don't take a connection from requests that can still
-    /// be answered.
+    /// Cancels the attempts that wait for a connection, so that they don't take it from requests that can still be
+    /// answered. A connection that is being established is kept for later requests: closing it would cost the target
+    /// another one.
+    void cancelWaitingAttempts();
+    /// Cancels all attempts of which nothing was sent.
     void cancelUnsentAttempts();
     void cancelAttempt(Attempt& attempt, GatewayTarget::Result result);
 
--- a/Libraries/GatewayNode/GatewayServer.cpp
+++ b/Libraries/GatewayNode/GatewayServer.cpp
@@ -265,6 +265,7 @@
     exchange.connection
         = message.needsFreshConnection ? HttpExchange::Connection::Fresh : HttpExchange::Connection::Any;
     exchange.whenBusy = message.mayWait ? HttpExchange::WhenBusy::Wait : HttpExchange::WhenBusy::Drop;
+    exchange.assigned = std::move(message.assigned);
     exchange.maySend = std::move(message.maySend);
     exchange.beforeSending = std::move(message.beforeSending);
     exchange.onResponseHead = std::move(message.onResponseHead);
--- a/Libraries/Net/HttpClientPool.cpp
+++ b/Libraries/Net/HttpClientPool.cpp
@@ -126,6 +126,8 @@
             this->skipped = 0;
             this->resetReader();
             this->sentBefore = this->channel->sent();
+            if (auto const& assigned = this->pending->exchange.assigned)
+                assigned();
             if (this->delayed)
                 this->graceTimer = this->loop.schedule(Clock::now() + delay, [self = this->shared_from_this()] {
                     self->delayed = false;
--- a/Libraries/Net/HttpClientPool.h
+++ b/Libraries/Net/HttpClientPool.h
@@ -74,6 +74,8 @@
     Milliseconds timeout;
     /// Largest response body in bytes; the pool's limit applies when 0.
     size_t bodyLimit { 0 };
+    /// Called when a connection, which may still have to be established, is assigned to the exchange. May be empty.
+    std::function<void()> assigned;
     /// Whether the request may still be sent. Called just before it is written to an established connection, and by
     /// withdrawUnsent(). When not set, it always may.
     std::function<bool()> maySend;
--- a/Tests/Gateway/GatewayFixture.h
+++ b/Tests/Gateway/GatewayFixture.h
@@ -93,6 +93,7 @@
     static void write(Sent& entry)
     {
         entry.written = true;
+        entry.message.assigned();
         entry.message.beforeSending(entry.message.head);
     }
 
--- a/Tests/Gateway/LoadHarness.cpp
+++ b/Tests/Gateway/LoadHarness.cpp
@@ -140,6 +140,7 @@
 void LoadHarness::dispatch(std::shared_ptr<Exchange> const& exchange)
 {
     exchange->hasConnection = true;
+    exchange->message.assigned();
     exchange->message.beforeSending(exchange->message.head);
     this->at(this->time + networkDelay, [this, exchange] {
         if (!exchange->ended)
--- a/Tests/Gateway/TestGatewayRequest.cpp
+++ b/Tests/Gateway/TestGatewayRequest.cpp
@@ -446,6 +446,25 @@
     CHECK(fixture.sent[9]->cancelled);
 }
 
+// Guards against connections that are closed while they are being established because their request was answered with
+// fewer parts: under overload the next requests would need new ones again.
+TEST(ScatteredRequest, ConnectionThatIsBeingEstablishedOutlivesTheAnswer)
+{
+    fixture.installScattered(10, 0.8);
+    fixture.connectionsAreFree = false;
+    auto const request = fixture.request("/search/1");
+    for (size_t index = 0; index < 9; ++index) {
+        GatewayFixture::write(*fixture.sent[index]);
+        fixture.reply(index, 200, record('a'));
+    }
+    fixture.sent[9]->message.assigned();
+    fixture.advance(200_ms);
+    LONGS_EQUAL(200, fixture.status());
+    CHECK_FALSE(fixture.sent[9]->cancelled);
+    fixture.advance(350_ms);
+    CHECK(fixture.sent[9]->cancelled);
+}
+
 // Guards against a complete answer after the objective when a partial one within it is preferred.
 TEST(ScatteredRequest, PartialAnswerIsSentWithinTheObjective)
 {
