Give a target the first request after its wait

Callers saw: a target that had turned requests away got nothing after its wait when its estimates were worse than those of idle targets, so no answer could show that it had recovered. One run of test_gateway_notices ended so: not all targets ran a request within 1 s of the end of their waits.

Cause: the first request after a wait ignored the closed connections, but still followed expected latency. It now goes to the target in any case; later ones follow expected latency again.

--- a/Libraries/Gateway/GatewayTarget.cpp
+++ b/Libraries/Gateway/GatewayTarget.cpp
@@ -184,9 +184,7 @@
         if (now - this->sentTimes.front() > limit)
             expected += stallPenalty;
     }
-    // The connections to a target that wanted to wait were closed meanwhile. Without this exception it would get no
-    // request as long as the others are not busy.
-    if (!this->returning && conditions.hasIdleConnection && !conditions.hasIdleConnection(this->entry.address))
+    if (conditions.hasIdleConnection && !conditions.hasIdleConnection(this->entry.address))
         expected += newConnectionTime;
     if (!this->sameFailureDomain && mechanisms.isEnabled(Mechanism::FailureDomainPreference))
         expected += std::clamp(typical * remotePenaltyRatio, minimumRemotePenalty, maximumRemotePenalty);
--- a/Libraries/Gateway/GatewayTarget.h
+++ b/Libraries/Gateway/GatewayTarget.h
@@ -87,6 +87,8 @@
     /// Time before which the target receives nothing because it asked this node to wait.
     Milliseconds waitEnd() const { return this->returnAt; }
     bool isWaiting(Milliseconds now) const { return this->returnAt > now; }
+    /// Whether the target has received nothing since it asked this node to wait.
+    bool isReturning() const { return this->returning; }
     /// Time from which on this node has known this incarnation of the target.
     Milliseconds knownSince() const { return this->firstKnown; }
     bool isRemoved() const { return this->removed; }
@@ -119,7 +121,6 @@
     Milliseconds firstKnown;
     Milliseconds wantedWaitEnd;
     Milliseconds returnAt;
-    /// Whether the target has received nothing since it asked this node to wait.
     bool returning { false };
     /// Times at which the running requests were sent, oldest first.
     std::vector<Milliseconds> sentTimes;
--- a/Libraries/Gateway/TargetSelector.cpp
+++ b/Libraries/Gateway/TargetSelector.cpp
@@ -26,6 +26,10 @@
             lastResort = target;
         if (!isUsable(*target, now))
             continue;
+        // Its connections were closed during the wait and its estimates are old, so by expected latency it would get
+        // nothing while the others are not busy.
+        if (target->isReturning())
+            return target;
         auto const expected = target->expectedLatency(conditions, now) * (1 + tieBreakShare * this->random());
         if (!best || expected < bestExpected) {
             best = target;
--- a/Tests/Gateway/TestTargetNotice.cpp
+++ b/Tests/Gateway/TestTargetNotice.cpp
@@ -204,6 +204,23 @@
     STRCMP_EQUAL("a:1", fixture.sent.at(1)->message.address.c_str());
 }
 
+// Guards against a target that gets nothing after its wait because it was slower than the others before: no answer can
+// show then that it has recovered.
+TEST(TargetNotice, SlowTargetReturnsWithOneRequest)
+{
+    fixture.gateway.install({ 1, { GatewayFixture::forwardedRoute(Repeatability::Idempotent) }, {}, {} });
+    fixture.addTarget("a", "store");
+    fixture.addTarget("b", "store");
+    auto& directory = fixture.gateway.sharedContext().directory;
+    directory.find("a")->onSharedSlowdown(8, fixture.time);
+    directory.onWait(directory.find("a"), fixture.time + 100_ms, fixture.time + 100_ms);
+    fixture.advance(100_ms);
+    fixture.request("/fetch/1");
+    STRCMP_EQUAL("a:1", fixture.sent.at(0)->message.address.c_str());
+    fixture.request("/fetch/1");
+    STRCMP_EQUAL("b:1", fixture.sent.at(1)->message.address.c_str());
+}
+
 // Guards against a shorter wait that ends a longer one, and against nodes that return all at once.
 TEST(TargetNotice, LongestWaitCountsAndReturnsAreSpread)
 {
