Read, log and count the rate limits that targets state

The incident's hypotheses can't be told apart by logs or metrics. The notice of a target now has its rate limit (decimal, any answer but a 421; odd values are logged and ignored). The target model holds it until an own answer to a later request states none or a newer incarnation registers, and the directory over the lapse of the entry. Nothing decides by it yet.

The handling of notices moves from GatewayRequest.cpp to a file of its own.

--- a/Libraries/Gateway/GatewayMessages.h
+++ b/Libraries/Gateway/GatewayMessages.h
@@ -28,6 +28,9 @@
     std::string retryAfter { "Retry-After" };
     /// Present in every answer of a target that is about to stop.
     std::string leaving { "Toucan-Leaving" };
+    /// Present in the answers of a target that limits its load: the requests per second, a decimal number, that it
+    /// accepts from all nodes together.
+    std::string rateLimit { "Toucan-Rate-Limit" };
     /// Signatures of the parts in a merged answer, separated by commas.
     std::string partSignatures { "Toucan-Part-Signatures" };
     /// Number of shards that are missing in a merged answer.
--- a/Libraries/Gateway/GatewayRequest.cpp
+++ b/Libraries/Gateway/GatewayRequest.cpp
@@ -2,7 +2,7 @@
 
 #include "Gateway/RecordMerger.h"
 #include "Gateway/ShardOutlook.h"
-#include "Gateway/TargetNotice.h"
+#include "Gateway/TargetNoticeRecorder.h"
 #include <Poco/NumberFormatter.h>
 #include <Poco/NumberParser.h>
 #include <Poco/String.h>
@@ -24,11 +24,6 @@
 /// without healthy targets.
 constexpr uint32_t maximumAttemptsPerPart = 5;
 
-/// The nodes return to a target that wanted to wait within this share of the wait, and at most this time, after its
-/// end, so that they don't return at once.
-constexpr double returnSpreadShare = 0.25;
-constexpr Milliseconds maximumReturnSpread { 500 };
-
 size_t GatewayRequest::Part::runningAttempts() const
 {
     return static_cast<size_t>(std::count_if(
@@ -203,12 +198,15 @@
     message.assigned = [self = this->shared_from_this(), partIndex, attemptIndex] {
         self->parts[partIndex].attempts[attemptIndex].onConnection = true;
     };
-    message.beforeSending = [self = this->shared_from_this(), partIndex, attemptIndex](Poco::Net::HTTPRequest& head) {
-        self->parts[partIndex].attempts[attemptIndex].sent = true;
-        self->setRemainingTime(head);
+    message.beforeSending
+        = [self = this->shared_from_this(), partIndex, attemptIndex, reason](Poco::Net::HTTPRequest& head) {
+              self->parts[partIndex].attempts[attemptIndex].sent = true;
+              self->countLimited(self->parts[partIndex].attempts[attemptIndex], reason);
+              self->setRemainingTime(head);
+          };
+    message.onResponseHead = [self = this->shared_from_this(), target, now](HTTPResponse const& head) {
+        recordNotice(self->context, { target, self->requestId, now }, head);
     };
-    message.onResponseHead
-        = [self = this->shared_from_this(), target](HTTPResponse const& head) { self->onResponseHead(target, head); };
     target->onSent(now);
     part.attempts.push_back({ target, now, {} });
     ++part.sentAttempts;
@@ -226,27 +224,25 @@
     return true;
 }
 
-void GatewayRequest::onResponseHead(TargetDirectory::TargetPointer const& target, HTTPResponse const& head)
+void GatewayRequest::countLimited(Attempt const& attempt, AttemptReason reason)
 {
-    auto const notice = readNotice(head, this->context.headers);
-    auto const& id = target->registration().id;
-    if (notice.leaving && this->context.directory.onLeaving(target)) {
-        this->context.metrics.count("targets_leaving");
-        if (this->context.mechanisms.isEnabled(Mechanism::SharedObservations))
-            this->context.outbox.add({ .target = id, .leaving = true });
-    }
-    if (!notice.unusableWait.empty())
-        this->context.log.line("retry-after-out-of-range",
-            { { "request", this->requestId }, { "target", id }, { "value", notice.unusableWait.substr(0, 100) } });
-    if (!notice.wait)
+    auto* const limit = attempt.target->rateLimit();
+    if (!limit)
         return;
-    auto const end = this->now() + *notice.wait;
-    auto const spread = std::min(*notice.wait * returnSpreadShare, maximumReturnSpread);
-    this->context.directory.onWait(target, end, end + spread * this->context.hooks.random());
-    this->context.metrics.count("target_waits");
-    this->context.log.line("target-waits",
-        { { "request", this->requestId }, { "target", id }, { "service", target->registration().service },
-            { "wait_ms", Poco::NumberFormatter::format(notice.wait->value, 0) } });
+    TargetRateLimit::Sent const sent {
+        .all = 1,
+        .hedges = reason == AttemptReason::Hedge,
+        .retries = reason == AttemptReason::Retry,
+        .chosenBefore = attempt.sentAt < limit->statedAt(),
+    };
+    limit->addSent(sent);
+    this->context.metrics.count("limited_attempts");
+    if (sent.hedges)
+        this->context.metrics.count("limited_hedges");
+    if (sent.retries)
+        this->context.metrics.count("limited_retries");
+    if (sent.chosenBefore)
+        this->context.metrics.count("limited_attempts_chosen_before");
 }
 
 void GatewayRequest::recordOutcome(Attempt const& attempt, AttemptOutcome outcome, AttemptReply const& reply)
--- a/Libraries/Gateway/GatewayRequest.h
+++ b/Libraries/Gateway/GatewayRequest.h
@@ -99,8 +99,8 @@
     void setRemainingTime(Poco::Net::HTTPRequest& head) const;
     Poco::Net::HTTPRequest createHead(GatewayTarget const& target) const;
     void onReply(size_t partIndex, size_t attemptIndex, AttemptReply&& reply);
-    /// Records what the target says about further requests in the head of an answer.
-    void onResponseHead(TargetDirectory::TargetPointer const& target, Poco::Net::HTTPResponse const& head);
+    /// Counts a request that is sent to a target with a rate limit, and what it was sent for.
+    void countLimited(Attempt const& attempt, AttemptReason reason);
     void recordOutcome(Attempt const& attempt, AttemptOutcome outcome, AttemptReply const& reply);
     void onSuccess(size_t partIndex, AttemptReply&& reply);
     void onFailure(size_t partIndex, AttemptOutcome outcome, AttemptReply&& reply);
--- a/Libraries/Gateway/GatewayTarget.cpp
+++ b/Libraries/Gateway/GatewayTarget.cpp
@@ -79,6 +79,14 @@
     this->returning = true;
 }
 
+void GatewayTarget::limitRate(double requestsPerSecond, Milliseconds now)
+{
+    if (this->limit)
+        this->limit->setRate(requestsPerSecond);
+    else
+        this->limit.emplace(requestsPerSecond, now);
+}
+
 void GatewayTarget::onSent(Milliseconds now)
 {
     this->sentTimes.push_back(now);
--- a/Libraries/Gateway/GatewayTarget.h
+++ b/Libraries/Gateway/GatewayTarget.h
@@ -2,6 +2,7 @@
 
 #include "Gateway/Mechanisms.h"
 #include "Gateway/ReportedSlowdown.h"
+#include "Gateway/TargetRateLimit.h"
 #include "Gateway/TargetRegistration.h"
 
 #include <functional>
@@ -76,6 +77,15 @@
     /// The target wants no requests from this node before `end`; it receives the next one at `returnAt`, which is not
     /// earlier. Has no effect when an earlier statement lasts longer.
     void waitUntil(Milliseconds end, Milliseconds returnAt);
+    /// The target accepts at most this many requests per second from all nodes together, from `now` on or as an earlier
+    /// statement said.
+    void limitRate(double requestsPerSecond, Milliseconds now);
+    /// Takes over the limit that an earlier entry of this incarnation had.
+    void restoreRateLimit(TargetRateLimit const& former) { this->limit = former; }
+    void endRateLimit() { this->limit.reset(); }
+    /// Null when the target states none.
+    TargetRateLimit const* rateLimit() const { return this->limit ? &*this->limit : nullptr; }
+    TargetRateLimit* rateLimit() { return this->limit ? &*this->limit : nullptr; }
     /// Called when the registration was removed or replaced by one of another incarnation.
     void onRemoved() { this->removed = true; }
 
@@ -122,6 +132,7 @@
     Milliseconds wantedWaitEnd;
     Milliseconds returnAt;
     bool returning { false };
+    std::optional<TargetRateLimit> limit;
     /// Times at which the running requests were sent, oldest first.
     std::vector<Milliseconds> sentTimes;
     double slowdownEstimate { 1 };
--- a/Libraries/Gateway/TargetDirectory.cpp
+++ b/Libraries/Gateway/TargetDirectory.cpp
@@ -76,9 +76,28 @@
     this->withdraw(target->registration().address);
 }
 
+void TargetDirectory::onRateLimit(TargetPointer const& target, double requestsPerSecond, Milliseconds now)
+{
+    target->limitRate(requestsPerSecond, now);
+    if (target->isRemoved())
+        this->rememberNotice(*target);
+}
+
+void TargetDirectory::onRateLimitEnded(TargetPointer const& target)
+{
+    auto const& registration = target->registration();
+    target->endRateLimit();
+    if (auto const present = this->find(registration.id);
+        present && present->registration().incarnation == registration.incarnation)
+        present->endRateLimit();
+    if (auto const notice = this->notices.find(registration.id);
+        notice != this->notices.end() && notice->second.incarnation == registration.incarnation)
+        notice->second.rateLimit.reset();
+}
+
 void TargetDirectory::rememberNotice(GatewayTarget const& target)
 {
-    if (!target.isLeaving() && target.waitEnd() == Milliseconds {})
+    if (!target.isLeaving() && target.waitEnd() == Milliseconds {} && !target.rateLimit())
         return;
     auto const& registration = target.registration();
     if (auto const present = this->find(registration.id)) {
@@ -88,10 +107,14 @@
         if (target.isLeaving())
             this->onLeaving(present);
         present->waitUntil(target.waitEnd(), target.waitEnd());
+        if (auto const* const limit = target.rateLimit())
+            present->limitRate(limit->requestsPerSecond(), limit->statedAt());
         return;
     }
     auto& notice = this->notices[registration.id];
-    notice = { registration.incarnation, target.isLeaving(), target.waitEnd(), ++this->lastNotice };
+    auto const* const limit = target.rateLimit();
+    notice = { registration.incarnation, target.isLeaving(), target.waitEnd(),
+        limit ? std::optional(*limit) : std::nullopt, ++this->lastNotice };
     if (this->notices.size() <= maximumNotices)
         return;
     this->notices.erase(std::min_element(this->notices.begin(), this->notices.end(),
@@ -110,6 +133,8 @@
     if (notice.leaving)
         target.onLeaving();
     target.waitUntil(notice.waitEnd, notice.waitEnd);
+    if (notice.rateLimit)
+        target.restoreRateLimit(*notice.rateLimit);
 }
 
 void TargetDirectory::erase(std::string const& id)
--- a/Libraries/Gateway/TargetDirectory.h
+++ b/Libraries/Gateway/TargetDirectory.h
@@ -45,6 +45,11 @@
     bool onLeaving(TargetPointer const& target);
     /// Records that the target wants no requests before `end`; see GatewayTarget::waitUntil().
     void onWait(TargetPointer const& target, Milliseconds end, Milliseconds returnAt);
+    /// Records the rate limit that the target states; it lasts until onRateLimitEnded(), also when its entry lapses and
+    /// comes back, or until a newer incarnation registers.
+    void onRateLimit(TargetPointer const& target, double requestsPerSecond, Milliseconds now);
+    /// Records that the target no longer states a rate limit.
+    void onRateLimitEnded(TargetPointer const& target);
 
     /// Valid until the next change of the directory.
     std::span<TargetPointer const> targets(std::string const& service) const;
@@ -60,6 +65,7 @@
         uint64_t incarnation { 0 };
         bool leaving { false };
         Milliseconds waitEnd;
+        std::optional<TargetRateLimit> rateLimit;
         /// Increases with each notice.
         uint64_t number { 0 };
     };
--- a/Libraries/Gateway/TargetNotice.cpp
+++ b/Libraries/Gateway/TargetNotice.cpp
@@ -45,12 +45,28 @@
     return Milliseconds { static_cast<double>(*end - start.value_or(Poco::Timestamp())) / microsecondsPerMillisecond };
 }
 
+static void appendUnusable(std::string& list, std::string const& value) { list += (list.empty() ? "" : ", ") + value; }
+
+static void readRateLimit(TargetNotice& notice, HTTPResponse const& head, GatewayHeaders const& names)
+{
+    for (auto const& [name, value] : head) {
+        if (Poco::icompare(name, names.rateLimit) != 0)
+            continue;
+        double limit = 0;
+        if (Poco::NumberParser::tryParseFloat(value, limit) && std::isfinite(limit) && limit >= 0)
+            notice.rateLimit = std::min(notice.rateLimit.value_or(limit), limit);
+        else
+            appendUnusable(notice.unusableRateLimit, value);
+    }
+}
+
 TargetNotice readNotice(HTTPResponse const& head, GatewayHeaders const& names)
 {
     TargetNotice notice;
     if (head.getStatus() == HTTPResponse::HTTP_MISDIRECTED_REQUEST)
         return notice;
     notice.leaving = head.has(names.leaving);
+    readRateLimit(notice, head, names);
     if (head.getStatus() != HTTPResponse::HTTP_SERVICE_UNAVAILABLE)
         return notice;
     for (auto const& [name, value] : head) {
@@ -59,7 +75,7 @@
         auto const wait = readWait(value, head);
         bool const usable = wait && !std::isnan(wait->value) && *wait > Milliseconds {};
         if (!usable || *wait > maximumWait)
-            notice.unusableWait += (notice.unusableWait.empty() ? "" : ", ") + value;
+            appendUnusable(notice.unusableWait, value);
         if (usable)
             notice.wait = std::max(notice.wait.value_or(*wait), std::min(*wait, maximumWait));
     }
