Show that two nodes exceed the rate limit of a target

Two gateway processes and three targets, of which one states 20 requests a second: 1505 requests reach it in 4 s where 125 are allowed.

--- a/Tests/Integration/platform_standin.py
+++ b/Tests/Integration/platform_standin.py
@@ -249,6 +249,8 @@
         self.delay = 0.0
         # Whether every answer says that the target leaves.
         self.leaving = False
+        # Requests per second that every answer states as the limit for all nodes together; None states none.
+        self.rate_limit = None
         # Seconds in the Retry-After of behave_shed, and the time, request id and seconds of each such answer.
         self.retry_after = None
         self.waits = []
@@ -337,8 +339,10 @@
                                    ("Backend-Load", self.load), *self.notices()])
 
     def notices(self):
-        """Header fields with which the target says that it leaves."""
-        return [("Server-Leaving", "1")] if self.leaving else []
+        """Header fields with which the target says that it leaves or limits its load."""
+        leaving = [("Server-Leaving", "1")] if self.leaving else []
+        limit = self.rate_limit
+        return leaving + ([("Server-Limit", str(limit))] if limit is not None else [])
 
     def behave_shed(self, call):
         """Refuses the request with 503 without running it."""
--- a/Tests/Integration/test_gateway_notices.py
+++ b/Tests/Integration/test_gateway_notices.py
@@ -14,6 +14,8 @@
 WAIT_S = 2.0
 # Most requests that may reach a target between TRANSIT_S after it has asked for a wait and the end of that time.
 WAIT_ARRIVALS = 2
+# Most requests that may reach a target in any window: LIMIT_FACTOR times what its rate limit allows, and LIMIT_EXTRA.
+LIMIT_FACTOR, LIMIT_EXTRA, LIMIT_WINDOW_S = 1.5, 5, 4.0
 # A target is used again within this time after its wait.
 RETURN_S = 1.0
 
@@ -162,6 +164,28 @@
             self.assertLess(end - begin, 0.2)
             self.assertGreater(float(answer.headers["Retry-After"]), 0)
 
+    # Guards against nodes that together send a target more requests than the rate limit that it states, and against a
+    # target that gets hardly any requests under its limit or stays limited after the end.
+    def test_nodes_together_keep_to_the_rate_limit_of_a_target(self):
+        end_traffic = self.start_traffic(self.nodes)
+        time.sleep(1)
+        target = max(self.targets, key=lambda candidate: len(candidate.runs))
+        limit = 20
+        stated = time.monotonic()
+        target.rate_limit = limit
+        time.sleep(LIMIT_WINDOW_S * 2)
+        ended = time.monotonic()
+        target.rate_limit = None
+        time.sleep(3)
+        end_traffic()
+        arrivals = [run["at"] for run in target.arrivals if stated + TRANSIT_S < run["at"] < ended]
+        most = max(sum(start <= at < start + LIMIT_WINDOW_S for at in arrivals) for start in arrivals)
+        self.assertLessEqual(most, LIMIT_FACTOR * limit * LIMIT_WINDOW_S + LIMIT_EXTRA)
+        self.assertGreater(len(arrivals) / (ended - stated - TRANSIT_S), limit / 2)
+        later = [run for run in target.arrivals if run["at"] > ended + 2]
+        self.assertGreater(len(later), 2 * limit)
+        self.assertEqual({answer.status for _, _, answer in self.answers}, {200})
+
 
 if __name__ == "__main__":
     unittest.main()
