Keep to the rate limits of targets with permits for each node's share

Cause: what a target states about its load was no input of the choice of targets. The permit is taken when the target is chosen, known to the admission of a request before an attempt is made, and returned when the request is not sent. Requests that wait for a connection need one when they are sent, else they go to another target. Requests for which no target has a permit are refused at once, with Retry-After until the next permit.

Without the check on permits three of the new unit tests fail.

--- a/Libraries/Gateway/GatewayRequest.cpp
+++ b/Libraries/Gateway/GatewayRequest.cpp
@@ -192,16 +192,21 @@
     bool const asLastResort = target->isDraining();
     // A draining target is used only while its fallback time lasts, so the request doesn't wait for a connection to it.
     message.mayWait = !asLastResort;
-    message.maySend = [now = this->context.hooks.now, target, address = message.address, asLastResort] {
-        return mayReceiveAssigned(*target, asLastResort, now()) && target->registration().address == address;
-    };
+    message.maySend
+        = [self = this->shared_from_this(), partIndex, attemptIndex, address = message.address, asLastResort] {
+              auto const& attempt = self->parts[partIndex].attempts[attemptIndex];
+              return mayReceiveAssigned(*attempt.target, { asLastResort, attempt.hasPermit }, self->now())
+                  && attempt.target->registration().address == address;
+          };
     message.assigned = [self = this->shared_from_this(), partIndex, attemptIndex] {
         self->parts[partIndex].attempts[attemptIndex].onConnection = true;
     };
     message.beforeSending
         = [self = this->shared_from_this(), partIndex, attemptIndex, reason](Poco::Net::HTTPRequest& head) {
-              self->parts[partIndex].attempts[attemptIndex].sent = true;
-              self->countLimited(self->parts[partIndex].attempts[attemptIndex], reason);
+              auto& attempt = self->parts[partIndex].attempts[attemptIndex];
+              attempt.sent = true;
+              attempt.hasPermit = attempt.hasPermit || attempt.target->takePermit(self->now());
+              self->countLimited(attempt, reason);
               self->setRemainingTime(head);
           };
     message.onResponseHead = [self = this->shared_from_this(), target, now](HTTPResponse const& head) {
@@ -209,6 +214,7 @@
     };
     target->onSent(now);
     part.attempts.push_back({ target, now, {} });
+    part.attempts.back().hasPermit = target->takePermit(now);
     ++part.sentAttempts;
     bool const mayHedge = this->route.repeatability == Repeatability::Idempotent
         && this->context.mechanisms.isEnabled(Mechanism::Hedging);
@@ -245,7 +251,7 @@
         this->context.metrics.count("limited_attempts_chosen_before");
 }
 
-void GatewayRequest::recordOutcome(Attempt const& attempt, AttemptOutcome outcome, AttemptReply const& reply)
+void GatewayRequest::recordOutcome(Attempt& attempt, AttemptOutcome outcome, AttemptReply const& reply)
 {
     using Result = GatewayTarget::Result;
     auto const now = this->now();
@@ -261,7 +267,7 @@
         result = Result::Unreachable;
     else if (outcome == AttemptOutcome::NotRun)
         result = attempt.target->isWaiting(now) ? Result::TurnedAway : Result::NotRun;
-    attempt.target->onEnded(result, attempt.sentAt, this->context.latencies.typical(this->route, now), now);
+    this->endAttempt(attempt, result, this->context.latencies.typical(this->route, now));
     if (outcome == AttemptOutcome::Success)
         this->context.latencies.add(this->route, now - attempt.sentAt, now);
     if (outcome == AttemptOutcome::WrongTarget) {
@@ -610,10 +616,17 @@
         callback(std::move(answer));
 }
 
+void GatewayRequest::endAttempt(Attempt& attempt, GatewayTarget::Result result, std::optional<Milliseconds> typical)
+{
+    attempt.target->onEnded(result, attempt.sentAt, typical, this->now());
+    if (attempt.hasPermit && !attempt.sent)
+        attempt.target->returnPermit();
+}
+
 void GatewayRequest::cancelAttempt(Attempt& attempt, GatewayTarget::Result result)
 {
     attempt.running = false;
-    attempt.target->onEnded(result, attempt.sentAt, std::nullopt, this->now());
+    this->endAttempt(attempt, result, std::nullopt);
     if (auto const cancel = std::exchange(attempt.cancel, nullptr))
         cancel();
 }
--- a/Libraries/Gateway/GatewayRequest.h
+++ b/Libraries/Gateway/GatewayRequest.h
@@ -45,6 +45,8 @@
         bool onConnection { false };
         /// Whether the request was written to a connection.
         bool sent { false };
+        /// Whether it has a permit under the target's rate limit.
+        bool hasPermit { false };
     };
     struct Part {
         enum class State {
@@ -101,7 +103,7 @@
     void onReply(size_t partIndex, size_t attemptIndex, AttemptReply&& reply);
     /// Counts a request that is sent to a target with a rate limit, and what it was sent for.
     void countLimited(Attempt const& attempt, AttemptReason reason);
-    void recordOutcome(Attempt const& attempt, AttemptOutcome outcome, AttemptReply const& reply);
+    void recordOutcome(Attempt& attempt, AttemptOutcome outcome, AttemptReply const& reply);
     void onSuccess(size_t partIndex, AttemptReply&& reply);
     void onFailure(size_t partIndex, AttemptOutcome outcome, AttemptReply&& reply);
     bool mayRetry(Part const& part, AttemptOutcome outcome) const;
@@ -140,6 +142,8 @@
     /// Cancels all attempts of which nothing was sent.
     void cancelUnsentAttempts();
     void cancelAttempt(Attempt& attempt, GatewayTarget::Result result);
+    /// Records the end of an attempt at its target.
+    void endAttempt(Attempt& attempt, GatewayTarget::Result result, std::optional<Milliseconds> typical);
 
     GatewayContext& context;
     std::shared_ptr<RouteTable const> table;
--- a/Libraries/Gateway/GatewayTarget.cpp
+++ b/Libraries/Gateway/GatewayTarget.cpp
@@ -79,12 +79,18 @@
     this->returning = true;
 }
 
-void GatewayTarget::limitRate(double requestsPerSecond, Milliseconds now)
+bool GatewayTarget::takePermit(Milliseconds now)
+{
+    if (!this->limit)
+        return false;
+    this->limit->takePermit(now);
+    return true;
+}
+
+void GatewayTarget::returnPermit()
 {
     if (this->limit)
-        this->limit->setRate(requestsPerSecond);
-    else
-        this->limit.emplace(requestsPerSecond, now);
+        this->limit->returnPermit();
 }
 
 void GatewayTarget::onSent(Milliseconds now)
--- a/Libraries/Gateway/GatewayTarget.h
+++ b/Libraries/Gateway/GatewayTarget.h
@@ -77,15 +77,16 @@
     /// The target wants no requests from this node before `end`; it receives the next one at `returnAt`, which is not
     /// earlier. Has no effect when an earlier statement lasts longer.
     void waitUntil(Milliseconds end, Milliseconds returnAt);
-    /// The target accepts at most this many requests per second from all nodes together, from `now` on or as an earlier
-    /// statement said.
-    void limitRate(double requestsPerSecond, Milliseconds now);
-    /// Takes over the limit that an earlier entry of this incarnation had.
-    void restoreRateLimit(TargetRateLimit const& former) { this->limit = former; }
-    void endRateLimit() { this->limit.reset(); }
+    void setRateLimit(std::optional<TargetRateLimit> const& stated) { this->limit = stated; }
     /// Null when the target states none.
     TargetRateLimit const* rateLimit() const { return this->limit ? &*this->limit : nullptr; }
     TargetRateLimit* rateLimit() { return this->limit ? &*this->limit : nullptr; }
+    /// Whether the target limits its load and this node may not send it a request now.
+    bool isAtRateLimit(Milliseconds now) const { return this->limit && !this->limit->hasPermit(now); }
+    /// Takes a permit for one request; returns false when the target states no limit.
+    bool takePermit(Milliseconds now);
+    /// Called when the request for which a permit was taken has not been sent.
+    void returnPermit();
     /// Called when the registration was removed or replaced by one of another incarnation.
     void onRemoved() { this->removed = true; }
 
--- a/Libraries/Gateway/ShardOutlook.cpp
+++ b/Libraries/Gateway/ShardOutlook.cpp
@@ -12,7 +12,7 @@
 bool isUsable(GatewayTarget const& target, Milliseconds now)
 {
     return !target.isReplaced() && !target.isLeaving() && !target.isBlocked(now) && !target.isWaiting(now)
-        && !target.isDraining();
+        && !target.isAtRateLimit(now) && !target.isDraining();
 }
 
 static bool isWithinDrainingFallback(GatewayTarget const& target, Milliseconds now)
@@ -23,14 +23,16 @@
 bool isLastResort(GatewayTarget const& target, Milliseconds now)
 {
     return isWithinDrainingFallback(target, now) && !target.isReplaced() && !target.isLeaving()
-        && !target.isBlocked(now) && !target.isWaiting(now);
+        && !target.isBlocked(now) && !target.isWaiting(now) && !target.isAtRateLimit(now);
 }
 
-bool mayReceiveAssigned(GatewayTarget const& target, bool asLastResort, Milliseconds now)
+bool mayReceiveAssigned(GatewayTarget const& target, Assignment const& assignment, Milliseconds now)
 {
+    if (!assignment.hasPermit && target.isAtRateLimit(now))
+        return false;
     if (target.isRemoved() || target.isReplaced() || target.isLeaving() || target.isWaiting(now))
         return false;
-    return !target.isDraining() || (asLastResort && isWithinDrainingFallback(target, now));
+    return !target.isDraining() || (assignment.asLastResort && isWithinDrainingFallback(target, now));
 }
 
 ShardOutlook outlookOf(std::span<TargetDirectory::TargetPointer const> targets, Milliseconds now)
@@ -44,7 +46,9 @@
             ++lastResorts;
         if (target->isReplaced() || target->isDraining() || target->isLeaving())
             continue;
-        auto const at = std::max({ target->blockEnd(), target->waitEnd(), now });
+        auto const* const limit = target->rateLimit();
+        auto const permitAt = limit ? limit->permitAt(now) : now;
+        auto const at = std::max({ target->blockEnd(), target->waitEnd(), permitAt, now });
         outlook.availableAt = outlook.availableAt ? std::min(*outlook.availableAt, at) : at;
         if (!isUsable(*target, now))
             continue;
--- a/Libraries/Gateway/ShardOutlook.h
+++ b/Libraries/Gateway/ShardOutlook.h
@@ -20,13 +20,18 @@
 };
 
 /// Whether a target may receive requests: it is not draining, leaving or blocked, it has not asked this node to wait,
-/// and no other target has its address.
+/// its rate limit leaves this node a permit, and no other target has its address.
 bool isUsable(GatewayTarget const& target, Milliseconds now);
 /// Whether a draining target may still receive requests that no other target can take.
 bool isLastResort(GatewayTarget const& target, Milliseconds now);
-/// Whether a request that was assigned to the target, as a last resort or not, and has not been sent yet may still be
-/// sent to it. A blocked target may receive it: the attempt shows whether it can be reached again.
-bool mayReceiveAssigned(GatewayTarget const& target, bool asLastResort, Milliseconds now);
+struct Assignment {
+    bool asLastResort { false };
+    /// Whether a permit under the target's rate limit was taken for the request.
+    bool hasPermit { false };
+};
+/// Whether a request that was assigned to the target and has not been sent yet may still be sent to it. A blocked
+/// target may receive it: the attempt shows whether it can be reached again.
+bool mayReceiveAssigned(GatewayTarget const& target, Assignment const& assignment, Milliseconds now);
 ShardOutlook outlookOf(std::span<TargetDirectory::TargetPointer const> targets, Milliseconds now);
 
 } // namespace Toucan
--- a/Libraries/Gateway/TargetDirectory.cpp
+++ b/Libraries/Gateway/TargetDirectory.cpp
@@ -76,20 +76,36 @@
     this->withdraw(target->registration().address);
 }
 
-void TargetDirectory::onRateLimit(TargetPointer const& target, double requestsPerSecond, Milliseconds now)
+void TargetDirectory::onRateLimit(TargetPointer const& target, RateLimitStatement const& statement)
 {
-    target->limitRate(requestsPerSecond, now);
+    if (auto* const known = target->rateLimit())
+        known->setRate(statement.requestsPerSecond, statement.at);
+    else
+        target->setRateLimit(
+            TargetRateLimit(statement.requestsPerSecond, 1.0 / this->sharingNodes, statement.phase, statement.at));
     if (target->isRemoved())
         this->rememberNotice(*target);
+    this->withdraw(target->registration().address);
+}
+
+void TargetDirectory::setSharingNodes(uint32_t nodes, Milliseconds now)
+{
+    if (nodes == this->sharingNodes || nodes == 0)
+        return;
+    this->sharingNodes = nodes;
+    for (auto const& [id, target] : this->targetsById) {
+        if (auto* const limit = target->rateLimit())
+            limit->setShare(1.0 / nodes, now);
+    }
 }
 
 void TargetDirectory::onRateLimitEnded(TargetPointer const& target)
 {
     auto const& registration = target->registration();
-    target->endRateLimit();
+    target->setRateLimit(std::nullopt);
     if (auto const present = this->find(registration.id);
         present && present->registration().incarnation == registration.incarnation)
-        present->endRateLimit();
+        present->setRateLimit(std::nullopt);
     if (auto const notice = this->notices.find(registration.id);
         notice != this->notices.end() && notice->second.incarnation == registration.incarnation)
         notice->second.rateLimit.reset();
@@ -107,8 +123,8 @@
         if (target.isLeaving())
             this->onLeaving(present);
         present->waitUntil(target.waitEnd(), target.waitEnd());
-        if (auto const* const limit = target.rateLimit())
-            present->limitRate(limit->requestsPerSecond(), limit->statedAt());
+        if (auto const* const limit = target.rateLimit(); limit && !present->rateLimit())
+            present->setRateLimit(*limit);
         return;
     }
     auto& notice = this->notices[registration.id];
@@ -133,8 +149,7 @@
     if (notice.leaving)
         target.onLeaving();
     target.waitUntil(notice.waitEnd, notice.waitEnd);
-    if (notice.rateLimit)
-        target.restoreRateLimit(*notice.rateLimit);
+    target.setRateLimit(notice.rateLimit);
 }
 
 void TargetDirectory::erase(std::string const& id)
--- a/Libraries/Gateway/TargetDirectory.h
+++ b/Libraries/Gateway/TargetDirectory.h
@@ -25,11 +25,19 @@
     struct Hooks {
         /// Called for the log: for each change of the directory, and for each outdated registration that is ignored.
         std::function<void(std::string_view event, TargetRegistration const&)> changed;
-        /// Called when a target at the address has begun to drain or to leave, wants to wait, moved away or was
-        /// removed, so that requests that wait to be sent to it can be withdrawn. May be empty.
+        /// Called when a target at the address has begun to drain or to leave, wants to wait, limits its load, moved
+        /// away or was removed, so that requests that wait to be sent to it can be withdrawn. May be empty.
         std::function<void(std::string const& address)> withdrawn {};
     };
 
+    struct RateLimitStatement {
+        /// 0 or more.
+        double requestsPerSecond { 0 };
+        /// Random number in [0, 1); see TargetRateLimit.
+        double phase { 0 };
+        Milliseconds at;
+    };
+
     TargetDirectory(std::string failureDomain, Hooks hooks);
 
     void put(TargetRegistration registration, Milliseconds now);
@@ -47,9 +55,11 @@
     void onWait(TargetPointer const& target, Milliseconds end, Milliseconds returnAt);
     /// Records the rate limit that the target states; it lasts until onRateLimitEnded(), also when its entry lapses and
     /// comes back, or until a newer incarnation registers.
-    void onRateLimit(TargetPointer const& target, double requestsPerSecond, Milliseconds now);
+    void onRateLimit(TargetPointer const& target, RateLimitStatement const& statement);
     /// Records that the target no longer states a rate limit.
     void onRateLimitEnded(TargetPointer const& target);
+    /// Sets the number of nodes that share the rate limits of targets; 0 changes nothing.
+    void setSharingNodes(uint32_t nodes, Milliseconds now);
 
     /// Valid until the next change of the directory.
     std::span<TargetPointer const> targets(std::string const& service) const;
@@ -84,6 +94,7 @@
     std::map<std::string, Milliseconds> deferred;
     std::map<std::string, RememberedNotice> notices;
     uint64_t lastNotice { 0 };
+    uint32_t sharingNodes { 1 };
 };
 
 } // namespace Toucan
--- a/Libraries/Gateway/TargetNoticeRecorder.cpp
+++ b/Libraries/Gateway/TargetNoticeRecorder.cpp
@@ -79,7 +79,7 @@
         { { "request", source.requestId }, { "target", registration.id }, { "service", registration.service },
             { "per_second", Poco::NumberFormatter::format(*notice.rateLimit, 2) },
             { "before", known ? Poco::NumberFormatter::format(known->requestsPerSecond(), 2) : "none" } });
-    context.directory.onRateLimit(source.target, *notice.rateLimit, context.hooks.now());
+    context.directory.onRateLimit(source.target, { *notice.rateLimit, context.hooks.random(), context.hooks.now() });
 }
 
 void recordNotice(GatewayContext& context, NoticeSource const& source, HTTPResponse const& head)
--- a/Libraries/Gateway/TargetRateLimit.cpp
+++ b/Libraries/Gateway/TargetRateLimit.cpp
@@ -1,13 +1,63 @@
 #include "Gateway/TargetRateLimit.h"
 
+#include <algorithm>
+#include <cmath>
+
 namespace Toucan {
 
-TargetRateLimit::TargetRateLimit(double requestsPerSecond, Milliseconds now)
+/// Bounds of the rate that is used, in requests per second. A target that accepts none is asked again at the lower one,
+/// because only its answers show the end of the limit.
+constexpr double minimumRate = 0.25;
+constexpr double maximumRate = 1000000;
+/// Time in which an available permit must be used. All nodes together can send as much as the target accepts in this
+/// time at once after they were idle.
+constexpr Milliseconds permitLifetime { 1000 };
+constexpr Milliseconds second { 1000 };
+
+TargetRateLimit::TargetRateLimit(double requestsPerSecond, double share, double phase, Milliseconds now)
     : rate(requestsPerSecond)
+    , share(share)
     , firstStatement(now)
+    , nextPermit(now + this->interval() * phase)
+{
+}
+
+Milliseconds TargetRateLimit::interval() const
+{
+    return second * (1 / (std::clamp(this->rate, minimumRate, maximumRate) * this->share));
+}
+
+void TargetRateLimit::setRate(double requestsPerSecond, Milliseconds now)
+{
+    auto const former = this->interval();
+    this->rate = requestsPerSecond;
+    this->reschedule(former, now);
+}
+
+void TargetRateLimit::setShare(double newShare, Milliseconds now)
+{
+    auto const former = this->interval();
+    this->share = newShare;
+    this->reschedule(former, now);
+}
+
+void TargetRateLimit::reschedule(Milliseconds formerInterval, Milliseconds now)
 {
+    if (this->nextPermit > now)
+        this->nextPermit = now + (this->nextPermit - now) * (this->interval().value / formerInterval.value);
 }
 
+Milliseconds TargetRateLimit::permitAt(Milliseconds now) const
+{
+    auto const expired = now - permitLifetime - this->nextPermit;
+    if (expired <= Milliseconds {})
+        return this->nextPermit;
+    auto const step = this->interval();
+    return this->nextPermit + step * std::ceil(expired.value / step.value);
+}
+
+void TargetRateLimit::takePermit(Milliseconds now) { this->nextPermit = this->permitAt(now) + this->interval(); }
+
 void TargetRateLimit::addSent(Sent const& requests)
 {
     this->sentRequests.all += requests.all;
--- a/Libraries/Gateway/TargetRateLimit.h
+++ b/Libraries/Gateway/TargetRateLimit.h
@@ -6,19 +6,32 @@
 
 namespace Toucan {
 
-/// The request rate that a target states to accept from all nodes together.
+/// The request rate that a target states to accept from all nodes together, and the permits of this node's share of it.
+/// Load: every node alone is far below the limit, and together they exceed it many times. Permits become available at
+/// equal intervals (the virtual scheduling algorithm of ITU-T I.371); one that is not used expires, so that nodes that
+/// were idle do not send many requests at once.
 class TargetRateLimit {
 public:
-    /// `requestsPerSecond` is at least 0. `now` is the time of the first statement.
-    TargetRateLimit(double requestsPerSecond, Milliseconds now);
+    /// `requestsPerSecond` is at least 0 and `share` is this node's share of it, above 0 and at most 1. `phase`, in
+    /// [0, 1), is the part of an interval until the first permit; nodes that learn of the limit together need different
+    /// ones. `now` is the time of the first statement.
+    TargetRateLimit(double requestsPerSecond, double share, double phase, Milliseconds now);
 
     /// Replaces the rate by the one of a later statement.
-    void setRate(double requestsPerSecond) { this->rate = requestsPerSecond; }
+    void setRate(double requestsPerSecond, Milliseconds now);
+    void setShare(double share, Milliseconds now);
     /// Requests per second, for all nodes together.
     double requestsPerSecond() const { return this->rate; }
     /// Time of the first statement.
     Milliseconds statedAt() const { return this->firstStatement; }
 
+    /// Time from which on a permit is available; not after `now` when there is one.
+    Milliseconds permitAt(Milliseconds now) const;
+    bool hasPermit(Milliseconds now) const { return this->permitAt(now) <= now; }
+    void takePermit(Milliseconds now);
+    /// Returns the permit of a request that was not sent.
+    void returnPermit() { this->nextPermit = this->nextPermit - this->interval(); }
+
     /// Requests that this node has sent to the target since the first statement.
     struct Sent {
         uint64_t all { 0 };
@@ -31,8 +44,15 @@
     Sent const& sent() const { return this->sentRequests; }
 
 private:
+    /// Time between two permits.
+    Milliseconds interval() const;
+    void reschedule(Milliseconds formerInterval, Milliseconds now);
+
     double rate;
+    double share;
     Milliseconds firstStatement;
+    /// Time at which the oldest permit that has not been taken becomes available.
+    Milliseconds nextPermit;
     Sent sentRequests;
 };
 
--- a/Libraries/GatewayNode/GatewayServer.cpp
+++ b/Libraries/GatewayNode/GatewayServer.cpp
@@ -77,6 +77,7 @@
           [this](Milliseconds at, std::function<void()> task) { this->loop.schedule(at, std::move(task)); },
           [this](std::vector<TargetObservation>&& observations) { this->notifyOtherRelays(observations); } })
 {
+    this->gateway.sharedContext().directory.setSharingNodes(this->settings.connectionSharers, Clock::now());
     if (!this->settings.relayListen.empty())
         this->relayServer = std::make_unique<RelayServer>(
             this->loop, this->settings.relayListen, this->registry, this->createRelayHooks());
--- a/Tests/Gateway/LoadHarness.cpp
+++ b/Tests/Gateway/LoadHarness.cpp
@@ -38,6 +38,13 @@
 {
     for (size_t index = 0; index < nodes; ++index)
         this->nodes.push_back(std::make_unique<Node>(*this, budget));
+    this->setSharingNodes(static_cast<uint32_t>(nodes));
+}
+
+void LoadHarness::setSharingNodes(uint32_t nodes)
+{
+    for (auto const& node : this->nodes)
+        node->gateway.sharedContext().directory.setSharingNodes(nodes, this->time);
 }
 
 LoadHarness::~LoadHarness() = default;
@@ -153,6 +160,8 @@
     auto& running = this->targets.at(exchange->address);
     auto& target = running.target;
     ++target.arrivals;
+    if (target.rateLimit)
+        target.limitedArrivals.push_back(this->time);
     if (target.isDark)
         return;
     if (this->random() < target.rejectedShare || running.queue.size() >= target.queueLimit) {
@@ -189,6 +198,8 @@
     reply.head.set(names.load,
         std::to_string(running.busySlots) + "," + std::to_string(running.queue.size()) + ","
             + std::to_string(running.target.slots));
+    if (auto const limit = running.target.rateLimit)
+        reply.head.set(names.rateLimit, Poco::NumberFormatter::format(*limit, 2));
     if (wasRun) {
         reply.head.set(names.signature, exchange->address + "-" + std::to_string(++this->requests));
         reply.body = "0123456789abcdef";
@@ -200,6 +211,7 @@
         if (exchange->ended)
             return;
         this->end(exchange);
+        exchange->message.onResponseHead(reply.head);
         exchange->done(std::move(reply));
     });
     if (exchange->hasSlot) {
--- a/Tests/Gateway/LoadHarness.h
+++ b/Tests/Gateway/LoadHarness.h
@@ -5,6 +5,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -27,6 +28,10 @@
         double rejectedShare { 0 };
         /// Whether requests arrive and are never answered.
         bool isDark { false };
+        /// Rate limit that its answers state, in requests per second; empty for none.
+        std::optional<double> rateLimit {};
+        /// Times of all arrivals, for a target that has stated a limit.
+        std::vector<Milliseconds> limitedArrivals {};
         size_t arrivals { 0 };
         size_t rejections { 0 };
     };
@@ -57,6 +62,8 @@
     Target& target(std::string const& id);
     /// Requests of the route arrive at random nodes at this rate until `end`.
     void addCallers(Route const& route, double requestsPerSecond, Milliseconds end);
+    /// Number of nodes among which each node divides the rate limits of targets; all of them at first.
+    void setSharingNodes(uint32_t nodes);
     /// Calls `task` at the given time.
     void at(Milliseconds time, std::function<void()> task);
     /// Runs all events until `end`.
--- a/Tests/Gateway/TestTargetRateLimit.cpp
+++ b/Tests/Gateway/TestTargetRateLimit.cpp
@@ -1,10 +1,28 @@
 #include "Gateway/TargetNotice.h"
 #include "GatewayFixture.h"
+#include "LoadHarness.h"
 
 #include "CppUTest/TestHarness.h"
 
 using namespace Toucan;
-using State = TargetRegistration::State;
+using Transport = AttemptReply::Transport;
+
+/// Most requests that a target may get in a window of 4 s under a limit, as the users' platform requires.
+static double allowedIn4Seconds(double limit) { return 1.5 * limit * 4 + 5; }
+
+/// Largest number of `times` in a window of 4 s.
+static size_t mostIn4Seconds(std::vector<Milliseconds> times)
+{
+    std::sort(times.begin(), times.end());
+    size_t most = 0;
+    size_t first = 0;
+    for (size_t last = 0; last < times.size(); ++last) {
+        while (times[last] - times[first] > 4000_ms)
+            ++first;
+        most = std::max(most, last - first + 1);
+    }
+    return most;
+}
 
 static TargetNotice limitOf(std::vector<std::string> const& values, int status = 200)
 {
@@ -137,3 +155,133 @@
     directory().put(registration, fixture.time);
     CHECK_FALSE(directory().find("near")->rateLimit());
 }
+
+// Guards against nodes that together exceed the limit because each of them is below its share of it: when they learn of
+// the limit at the same time, when all were idle, and when the limit is a fraction of a request per node.
+TEST(TargetRateLimit, PermitsOfAllNodesStayBelowTheLimit)
+{
+    std::mt19937_64 engine(1);
+    std::uniform_real_distribution<double> random(0, 1);
+    for (size_t const nodes : { 7, 470 }) {
+        for (double const rate : { 0.0, 1.0, 10.0, 25.5, 2000.0 }) {
+            std::vector<TargetRateLimit> limits;
+            for (size_t node = 0; node < nodes; ++node)
+                limits.emplace_back(rate, 1.0 / static_cast<double>(nodes), random(engine), 0_ms);
+            std::vector<Milliseconds> sent;
+            for (Milliseconds now; now < 40000_ms; now += 5_ms) {
+                // All are idle from 10 to 20 s.
+                if (now > 10000_ms && now < 20000_ms)
+                    continue;
+                for (auto& limit : limits) {
+                    while (limit.hasPermit(now)) {
+                        limit.takePermit(now);
+                        sent.push_back(now);
+                    }
+                }
+            }
+            auto const context = std::to_string(nodes) + " nodes, limit " + std::to_string(rate);
+            CHECK_TEXT(static_cast<double>(mostIn4Seconds(sent)) <= allowedIn4Seconds(rate), context.c_str());
+            CHECK_TEXT(static_cast<double>(sent.size()) >= 2.0 / 3 * 30 * rate, context.c_str());
+        }
+    }
+}
+
+// Guards against requests that a changed limit or share delays by the time that applied before the change.
+TEST(TargetRateLimit, ChangesApplyToTheNextPermit)
+{
+    TargetRateLimit limit(0.1, 0.1, 0.5, 0_ms);
+    DOUBLES_EQUAL(20000, limit.permitAt(0_ms).value, 1e-6);
+    limit.setRate(10, 0_ms);
+    DOUBLES_EQUAL(500, limit.permitAt(0_ms).value, 1e-6);
+    limit.setShare(1, 0_ms);
+    DOUBLES_EQUAL(50, limit.permitAt(0_ms).value, 1e-6);
+    limit.takePermit(50_ms);
+    DOUBLES_EQUAL(150, limit.permitAt(50_ms).value, 1e-6);
+    limit.returnPermit();
+    CHECK(limit.hasPermit(50_ms));
+}
+
+// Guards against a request that costs an attempt, waits, or gets no time to return, when the node knows that no target
+// may receive it yet.
+TEST(TargetRateLimit, RefusedAtOnceWhenEveryTargetIsAtItsLimit)
+{
+    directory().setSharingNodes(10, fixture.time);
+    // The random number of the fixture is 0, so each limit has a permit at once and the next one after 500 ms.
+    answerFromNear(stated("20"));
+    answerFromNear(stated("20"));
+    for (size_t index = 2; index < 4; ++index) {
+        fixture.request("/fetch/1");
+        STRCMP_EQUAL("far:1", fixture.sent[index]->message.address.c_str());
+        fixture.reply(index, 200, "body", "s", stated("20"));
+    }
+    auto const answered = fixture.answers.size();
+    fixture.request("/fetch/1");
+    LONGS_EQUAL(4, fixture.sent.size());
+    LONGS_EQUAL(answered + 1, fixture.answers.size());
+    LONGS_EQUAL(503, fixture.status(answered));
+    // A quarter of the time that the caller has left, at most.
+    DOUBLES_EQUAL(0.197, std::stod(fixture.header("Retry-After", answered)), 0.01);
+    fixture.advance(500_ms);
+    fixture.request("/fetch/1");
+    LONGS_EQUAL(5, fixture.sent.size());
+}
+
+// Guards against requests that wait for a connection and are sent beyond the limit that the target states meanwhile,
+// and against permits that such requests use up.
+TEST(TargetRateLimit, RequestsThatWaitForAConnectionLeaveTheTarget)
+{
+    directory().setSharingNodes(10, fixture.time);
+    fixture.request("/fetch/1");
+    fixture.connectionsAreFree = false;
+    fixture.request("/fetch/1");
+    fixture.request("/fetch/1");
+    fixture.reply(0, 200, "body", "s", stated("20"));
+    auto const near = directory().find("near");
+    for (size_t index = 1; index < 3; ++index) {
+        STRCMP_EQUAL("near:1", fixture.sent[index]->message.address.c_str());
+        CHECK(fixture.sent[index]->message.maySend());
+    }
+    GatewayFixture::write(*fixture.sent[1]);
+    CHECK_FALSE(fixture.sent[2]->message.maySend());
+    auto const next = near->rateLimit()->permitAt(fixture.time);
+    fixture.fail(2, Transport::Withdrawn);
+    STRCMP_EQUAL("far:1", fixture.sent.back()->message.address.c_str());
+    CHECK(near->rateLimit()->permitAt(fixture.time) == next);
+    // A request that has a permit and is not sent returns it.
+    fixture.advance(next - fixture.time);
+    fixture.request("/fetch/1");
+    STRCMP_EQUAL("near:1", fixture.sent.back()->message.address.c_str());
+    CHECK_FALSE(near->rateLimit()->hasPermit(fixture.time));
+    fixture.fail(fixture.sent.size() - 1, Transport::NotSent);
+    CHECK(near->rateLimit()->hasPermit(fixture.time));
+}
+
+// Guards against hundreds of nodes, or a few, that send a limited target more than it accepts, and against a limited
+// target that is hardly used while the others are overloaded.
+TEST(TargetRateLimit, FleetKeepsToTheLimitAndUsesIt)
+{
+    for (size_t const nodes : { 7, 64 }) {
+        LoadHarness harness(nodes, 4, { 0.19, 1.9, 10000_ms }, 3);
+        auto const route = GatewayFixture::forwardedRoute(Repeatability::Idempotent);
+        harness.install({ 1, { route }, {}, {} });
+        for (char const* name : { "a", "b", "c" }) {
+            LoadHarness::Target target;
+            target.id = name;
+            target.service = "store";
+            harness.addTarget(target);
+        }
+        static constexpr double limit = 40;
+        harness.at(3000_ms, [&harness] { harness.target("a").rateLimit = limit; });
+        harness.addCallers(route, 300, 21000_ms);
+        harness.run(22000_ms);
+        // Each node may be told with one request and send what is on its way for half a second.
+        std::vector<Milliseconds> arrivals;
+        for (auto const at : harness.target("a").limitedArrivals) {
+            if (at > 4500_ms)
+                arrivals.push_back(at);
+        }
+        CHECK(static_cast<double>(mostIn4Seconds(arrivals)) <= allowedIn4Seconds(limit));
+        CHECK(static_cast<double>(arrivals.size()) >= limit / 2 * 16);
+        CHECK(harness.result("fetch").inTime >= harness.result("fetch").asked * 97 / 100);
+    }
+}
