Let the relays count the nodes that share rate limits and connections

Each node assumed 11 nodes, so 7 used half of a limit. Estimates from the connections of a relay say 15 to 21, because reports use a second connection. Now a node names itself when it asks a relay for changes, relays tell each other each second whom they have seen (about 4 bytes a node), and the answers hold the number. It is not given out by a relay that has just started, nodes of a silent relay count for 30 s more, and without a number the greater of estimate and setting applies.

--- a/Libraries/Gateway/RegistryRelay.h
+++ b/Libraries/Gateway/RegistryRelay.h
@@ -28,6 +28,8 @@
     std::string failureDomain;
     /// Number of nodes that follow the sender.
     uint32_t followers { 0 };
+    /// Number of nodes of the deployment that the sender has counted; empty when it does not know it.
+    std::optional<uint32_t> nodes;
     /// New observations of targets, and the number of the last one for the follower's next request.
     std::vector<TargetObservation> observations;
     uint64_t lastObservation { 0 };
--- a/Libraries/Gateway/RegistrySync.cpp
+++ b/Libraries/Gateway/RegistrySync.cpp
@@ -40,6 +40,7 @@
     , context(gateway.sharedContext())
     , isRelay(!topology.ownRelay.empty())
     , relayCount(topology.relays.size())
+    , assumedNodes(topology.assumedNodes)
     , hooks(std::move(hooks))
 {
     for (auto& address : topology.relays) {
@@ -55,6 +56,8 @@
 
 uint32_t RegistrySync::estimatedNodes() const
 {
+    if (this->countedNodes)
+        return *this->countedNodes;
     if (this->relayCount == 0)
         return 0;
     auto largestCount = this->followers;
@@ -63,8 +66,23 @@
     return static_cast<uint32_t>(this->relayCount) * (largestCount + 1);
 }
 
+void RegistrySync::updateNodes(std::optional<uint32_t> counted)
+{
+    if (counted)
+        this->countedNodes = counted;
+    auto const nodes = this->countedNodes.value_or(std::max(this->assumedNodes, this->estimatedNodes()));
+    auto const before = this->context.directory.sharingNodes();
+    if (nodes == before)
+        return;
+    this->context.directory.setSharingNodes(nodes, this->now());
+    this->context.log.line("nodes-counted",
+        { { "nodes", std::to_string(nodes) }, { "before", std::to_string(before) },
+            { "source", this->countedNodes ? "relays" : "estimate" } });
+}
+
 void RegistrySync::start()
 {
+    this->updateNodes({});
     bool const follows = !this->isRelay && !this->relays.empty();
     this->list(follows ? Freshness::Stale : Freshness::Latest);
 }
@@ -138,6 +156,8 @@
 {
     if (update.status == RegistryStatus::Ok) {
         this->applyObservations(update.observations);
+        relay.followers = update.followers;
+        this->updateNodes(update.nodes);
         relay.lastObservation = update.lastObservation;
     }
     bool const recent = update.status == RegistryStatus::Ok && update.age <= maximumStaleness;
@@ -262,11 +282,12 @@
 {
     if (update.status == RegistryStatus::Ok) {
         this->applyObservations(update.observations);
+        relay.followers = update.followers;
+        this->updateNodes(update.nodes);
         relay.lastObservation = update.lastObservation;
     }
     if (update.status == RegistryStatus::Ok && update.revision >= this->revision && update.age <= maximumStaleness) {
         relay.failureDomain = update.failureDomain;
-        relay.followers = update.followers;
         relay.staleness = update.age;
         if (update.outageEnded)
             this->outageEndedAt = this->now() - *update.outageEnded;
--- a/Libraries/Gateway/RegistrySync.h
+++ b/Libraries/Gateway/RegistrySync.h
@@ -39,6 +39,8 @@
         std::vector<std::string> relays;
         /// This node's own address among them; empty when it is no relay.
         std::string ownRelay {};
+        /// Number of nodes that is assumed until the relays have counted them.
+        uint32_t assumedNodes { 1 };
     };
 
     RegistrySync(Gateway& gateway, Topology topology, Hooks hooks);
@@ -53,9 +55,12 @@
     RegistryRelay& relay() { return this->registryRelay; }
     /// Address of the relay that received the last request for changes; empty before the first request.
     std::string const& followedRelay() const { return this->lastFollowedRelay; }
-    /// Estimated number of nodes of the deployment, assuming that every relay has as many followers as the one with the
-    /// most. 0 without relays.
+    /// Number of nodes of the deployment that the relays have counted; until then an estimate that assumes that every
+    /// relay has as many followers as the one with the most, and 0 without relays.
     uint32_t estimatedNodes() const;
+    /// Sets the number of nodes that share the rate limits of targets: the counted one, or while none was counted the
+    /// greater of the estimate and the assumed one.
+    void updateNodes(std::optional<uint32_t> counted);
     void setFollowers(uint32_t count) { this->followers = count; }
     /// Applies other nodes' observations to the targets.
     void applyObservations(std::span<TargetObservation const> observations);
@@ -109,6 +114,8 @@
     bool isRelay;
     uint32_t followers { 0 };
     size_t relayCount;
+    uint32_t assumedNodes;
+    std::optional<uint32_t> countedNodes;
     std::string lastFollowedRelay;
     Hooks hooks;
     RegistryRelay registryRelay;
--- a/Libraries/Gateway/TargetDirectory.cpp
+++ b/Libraries/Gateway/TargetDirectory.cpp
@@ -42,7 +42,7 @@
     }
     bool const sameDomain = registration.failureDomain == this->failureDomain;
     auto const target = std::make_shared<GatewayTarget>(std::move(registration), sameDomain, now);
-    this->restoreNotice(*target);
+    this->restoreNotice(*target, now);
     this->targetsById[target->registration().id] = target;
     this->targetsByService[target->registration().service].push_back(target);
     this->targetsByHash.emplace(hashTargetId(target->registration().id), target);
@@ -82,20 +82,20 @@
         known->setRate(statement.requestsPerSecond, statement.at);
     else
         target->setRateLimit(
-            TargetRateLimit(statement.requestsPerSecond, 1.0 / this->sharingNodes, statement.phase, statement.at));
+            TargetRateLimit(statement.requestsPerSecond, 1.0 / this->nodes, statement.phase, statement.at));
     if (target->isRemoved())
         this->rememberNotice(*target);
     this->withdraw(target->registration().address);
 }
 
-void TargetDirectory::setSharingNodes(uint32_t nodes, Milliseconds now)
+void TargetDirectory::setSharingNodes(uint32_t count, Milliseconds now)
 {
-    if (nodes == this->sharingNodes || nodes == 0)
+    if (count == this->nodes || count == 0)
         return;
-    this->sharingNodes = nodes;
+    this->nodes = count;
     for (auto const& [id, target] : this->targetsById) {
         if (auto* const limit = target->rateLimit())
-            limit->setShare(1.0 / nodes, now);
+            limit->setShare(1.0 / count, now);
     }
 }
 
@@ -137,7 +137,7 @@
         [](auto const& one, auto const& other) { return one.second.number < other.second.number; }));
 }
 
-void TargetDirectory::restoreNotice(GatewayTarget& target)
+void TargetDirectory::restoreNotice(GatewayTarget& target, Milliseconds now)
 {
     auto const found = this->notices.find(target.registration().id);
     if (found == this->notices.end())
@@ -150,6 +150,8 @@
         target.onLeaving();
     target.waitUntil(notice.waitEnd, notice.waitEnd);
     target.setRateLimit(notice.rateLimit);
+    if (auto* const limit = target.rateLimit())
+        limit->setShare(1.0 / this->nodes, now);
 }
 
 void TargetDirectory::erase(std::string const& id)
--- a/Libraries/Gateway/TargetDirectory.h
+++ b/Libraries/Gateway/TargetDirectory.h
@@ -59,7 +59,8 @@
     /// Records that the target no longer states a rate limit.
     void onRateLimitEnded(TargetPointer const& target);
     /// Sets the number of nodes that share the rate limits of targets; 0 changes nothing.
-    void setSharingNodes(uint32_t nodes, Milliseconds now);
+    void setSharingNodes(uint32_t count, Milliseconds now);
+    uint32_t sharingNodes() const { return this->nodes; }
 
     /// Valid until the next change of the directory.
     std::span<TargetPointer const> targets(std::string const& service) const;
@@ -82,7 +83,7 @@
 
     void erase(std::string const& id);
     void rememberNotice(GatewayTarget const& target);
-    void restoreNotice(GatewayTarget& target);
+    void restoreNotice(GatewayTarget& target, Milliseconds now);
     void withdraw(std::string const& address) const;
 
     std::string failureDomain;
@@ -94,7 +95,8 @@
     std::map<std::string, Milliseconds> deferred;
     std::map<std::string, RememberedNotice> notices;
     uint64_t lastNotice { 0 };
-    uint32_t sharingNodes { 1 };
+    /// Nodes that share the rate limits.
+    uint32_t nodes { 1 };
 };
 
 } // namespace Toucan
--- a/Libraries/GatewayNode/GatewayServer.cpp
+++ b/Libraries/GatewayNode/GatewayServer.cpp
@@ -41,6 +41,8 @@
 constexpr auto refusedConnectionRetryAfter = "0.1";
 /// Interval at which a stopping node checks whether it may exit.
 constexpr Milliseconds stopPollPeriod { 50 };
+/// Period in which relays tell each other which nodes follow them.
+constexpr Milliseconds nodeReportPeriod { 1000 };
 /// Time to send the last answers before the loop stops.
 constexpr Milliseconds finalOutputTime { 100 };
 
@@ -70,14 +72,15 @@
     , readiness(this->loop, this->settings.readyListen, { {}, adminConnections },
           { [this](HttpServerSession::Pointer const& session, HttpServerRequest&&) { this->answerReadiness(session); },
               {}, {}, {} })
-    , relayClient(this->loop, this->hooks.decodeEntry)
-    , registry(this->gateway, { this->settings.relays, this->isRelay() ? this->settings.relayListen : "" },
+    , relayClient(this->loop, this->hooks.decodeEntry, this->settings.name)
+    , registry(this->gateway,
+          { this->settings.relays, this->isRelay() ? this->settings.relayListen : "",
+              this->settings.connectionSharers },
           this->createRegistryHooks())
     , relayOutbox({ [] { return Clock::now(); },
           [this](Milliseconds at, std::function<void()> task) { this->loop.schedule(at, std::move(task)); },
           [this](std::vector<TargetObservation>&& observations) { this->notifyOtherRelays(observations); } })
 {
-    this->gateway.sharedContext().directory.setSharingNodes(this->settings.connectionSharers, Clock::now());
     if (!this->settings.relayListen.empty())
         this->relayServer = std::make_unique<RelayServer>(
             this->loop, this->settings.relayListen, this->registry, this->createRelayHooks());
@@ -172,6 +175,19 @@
     });
 }
 
+void GatewayServer::countNodes()
+{
+    auto const now = Clock::now();
+    auto& nodes = this->relayServer->nodes();
+    nodes.onSeen(this->settings.name, now);
+    this->registry.updateNodes(nodes.count(now));
+    for (auto const& relay : this->settings.relays) {
+        if (relay != this->settings.relayListen)
+            this->relayClient.reportNodes(relay, { this->settings.name, nodes.seenHere(now) });
+    }
+    this->loop.schedule(now + nodeReportPeriod, [this] { this->countNodes(); });
+}
+
 bool GatewayServer::isRelay() const
 {
     auto const& relays = this->settings.relays;
@@ -340,6 +356,8 @@
             { "callers", this->settings.callerListen }, { "registry", this->settings.registry } },
         DecisionLog::Delivery::Always);
     this->registry.start();
+    if (this->isRelay())
+        this->countNodes();
     this->loop.run();
     this->gateway.sharedContext().log.line(
         "stopped", { { "running", std::to_string(this->gateway.running()) } }, DecisionLog::Delivery::Always);
--- a/Libraries/GatewayNode/GatewayServer.h
+++ b/Libraries/GatewayNode/GatewayServer.h
@@ -60,6 +60,8 @@
     void notifyOtherRelays(std::span<TargetObservation const> observations);
     void report(std::string const& relay, RelayClient::Reporter reporter, std::string const& body);
     bool isRelay() const;
+    /// Tells the other relays which nodes follow this one, and repeats it.
+    void countNodes();
     HttpServerSession::Hooks createCallerHooks();
     HttpServer::Limits callerLimits();
     HttpClientPool::Limits targetLimits();
--- a/Libraries/GatewayNode/RelayClient.cpp
+++ b/Libraries/GatewayNode/RelayClient.cpp
@@ -16,8 +16,9 @@
 constexpr uint32_t connectionsPerRelay = 2;
 constexpr Milliseconds reportTimeout { 500 };
 
-RelayClient::RelayClient(EventLoop& loop, RegistryDecoder decode)
+RelayClient::RelayClient(EventLoop& loop, RegistryDecoder decode, std::string node)
     : decode(std::move(decode))
+    , node(std::move(node))
     , pool(loop, { .sizes = { 16384, maximumAnswerBytes }, .connectTimeout = connectTimeout })
 {
 }
@@ -29,6 +30,8 @@
     uri.addQueryParameter("observation", std::to_string(request.lastObservation));
     uri.addQueryParameter("wait", std::to_string(static_cast<uint64_t>(request.wait.value)));
     uri.addQueryParameter(RelayServer::compactParameter, "1");
+    if (!this->node.empty())
+        uri.addQueryParameter(RelayServer::nodeParameter, this->node);
     this->call(relay, uri.getPathAndQuery(), std::move(done));
 }
 
@@ -45,8 +48,20 @@
     Poco::URI uri(RelayServer::observationsPath);
     if (reporter == Reporter::Relay)
         uri.addQueryParameter(RelayServer::relayedParameter, "1");
+    this->post(relay, uri.getPathAndQuery(), body, std::move(lost));
+}
+
+void RelayClient::reportNodes(std::string const& relay, NodeReport const& report)
+{
+    // The next report replaces one that is lost.
+    this->post(relay, RelayServer::nodesPath, writeNodeReport(report), [](std::string const&) {});
+}
+
+void RelayClient::post(std::string const& relay, std::string const& target, std::string const& body,
+    std::function<void(std::string const&)> lost)
+{
     HttpExchange exchange;
-    exchange.head = Poco::Net::HTTPRequest("POST", uri.getPathAndQuery(), Poco::Net::HTTPMessage::HTTP_1_1);
+    exchange.head = Poco::Net::HTTPRequest("POST", target, Poco::Net::HTTPMessage::HTTP_1_1);
     exchange.head.setContentType("application/json");
     exchange.body = std::make_shared<std::string const>(body);
     exchange.whenBusy = HttpExchange::WhenBusy::Drop;
--- a/Libraries/GatewayNode/RelayClient.h
+++ b/Libraries/GatewayNode/RelayClient.h
@@ -11,7 +11,8 @@
 /// Requests registry entries and changes from relays and reports observations to them.
 class RelayClient {
 public:
-    RelayClient(EventLoop& loop, RegistryDecoder decode);
+    /// `node` is the name under which relays count this node; not counted when it is empty.
+    RelayClient(EventLoop& loop, RegistryDecoder decode, std::string node = {});
 
     /// Requests changes; the relay answers when there are some or after the wait of the request.
     void follow(std::string const& relay, RelayRequest request, std::function<void(RelayUpdate&&)> done);
@@ -26,11 +27,16 @@
     /// there is no retry, because the next answers of the targets bring newer values.
     void report(std::string const& relay, Reporter reporter, std::string const& body,
         std::function<void(std::string const&)> lost);
+    /// Sends the nodes that this relay has seen to another relay.
+    void reportNodes(std::string const& relay, NodeReport const& report);
 
 private:
+    void post(std::string const& relay, std::string const& target, std::string const& body,
+        std::function<void(std::string const&)> lost);
     void call(std::string const& relay, std::string const& target, std::function<void(RelayUpdate&&)> done);
 
     RegistryDecoder decode;
+    std::string node;
     HttpClientPool pool;
 };
 
--- a/Libraries/GatewayNode/RelayCodec.cpp
+++ b/Libraries/GatewayNode/RelayCodec.cpp
@@ -77,6 +77,30 @@
     return readObservationArray(document["observations"]);
 }
 
+std::string writeNodeReport(NodeReport const& report)
+{
+    Json::Value body(Json::objectValue);
+    body["relay"] = report.relay;
+    body["nodes"] = Json::Value(Json::arrayValue);
+    for (auto const node : report.nodes)
+        body["nodes"].append(node);
+    return writeJson(body);
+}
+
+NodeReport readNodeReport(std::string_view body)
+{
+    auto const document = parseJson(body);
+    if (!document.isObject() || !document["relay"].isString() || !document["nodes"].isArray())
+        throw Error(ErrorKind::InvalidInput, "The body has no relay or no nodes", "Run the same version on all nodes");
+    NodeReport report { document["relay"].asString(), {} };
+    for (auto const& node : document["nodes"]) {
+        if (!node.isUInt())
+            throw Error(ErrorKind::InvalidInput, "A node is not a number", "Run the same version on all nodes");
+        report.nodes.push_back(node.asUInt());
+    }
+    return report;
+}
+
 /// Steps of the packed slowdown for each doubling; a byte covers 1/16 to 2,000.
 constexpr double stepsPerDoubling = 17;
 /// Packed value of a slowdown of 1.
@@ -133,6 +157,8 @@
         body["outageEndedMs"] = wholeMilliseconds(*update.outageEnded);
     body["failureDomain"] = update.failureDomain;
     body["followers"] = update.followers;
+    if (update.nodes)
+        body["nodes"] = *update.nodes;
     body["lastObservation"] = Json::UInt64 { update.lastObservation };
     return body;
 }
@@ -202,6 +228,8 @@
     update.failureDomain = document["failureDomain"].asString();
     if (document["followers"].isUInt())
         update.followers = document["followers"].asUInt();
+    if (document["nodes"].isUInt())
+        update.nodes = document["nodes"].asUInt();
     if (document["lastObservation"].isUInt64())
         update.lastObservation = document["lastObservation"].asUInt64();
     update.observations = readObservationArray(document["observations"]);
--- a/Libraries/GatewayNode/RelayCodec.h
+++ b/Libraries/GatewayNode/RelayCodec.h
@@ -36,7 +36,18 @@
 /// Throws Error of kind InvalidInput when the body cannot be read, or holds more than 8 MiB of entries.
 RelayUpdate readCompactUpdate(std::string_view body, RegistryDecoder const& decode);
 
-/// JSON body of an update: {"revision", "ageMs", "outageEndedMs", "failureDomain", "followers",
+/// The nodes that a relay has seen; see NodeCounter.
+struct NodeReport {
+    /// Name of the relay.
+    std::string relay;
+    std::vector<uint32_t> nodes;
+};
+/// JSON body {"relay", "nodes": [hash]}.
+std::string writeNodeReport(NodeReport const& report);
+/// Throws Error of kind InvalidInput when the body cannot be read.
+NodeReport readNodeReport(std::string_view body);
+
+/// JSON body of an update: {"revision", "ageMs", "outageEndedMs", "failureDomain", "followers", "nodes",
 /// "entries": [text], "observations": [[target, slowdown, age in ms]], "lastObservation"}.
 std::string writeRelayUpdate(RelayUpdate const& update);
 
--- a/Libraries/GatewayNode/RelayServer.cpp
+++ b/Libraries/GatewayNode/RelayServer.cpp
@@ -26,6 +26,7 @@
     : loop(loop)
     , sync(sync)
     , hooks(std::move(hooks))
+    , nodeCounter(Clock::now())
     , server(loop, address, { { .sizes = { requestHeaderBytes, reportBytes } }, maximumConnections },
           this->createSessionHooks())
 {
@@ -50,6 +51,15 @@
     return sessionHooks;
 }
 
+static std::string readText(Poco::URI const& uri, std::string_view wanted)
+{
+    for (auto const& [name, value] : uri.getQueryParameters()) {
+        if (name == wanted)
+            return value;
+    }
+    return {};
+}
+
 static std::optional<uint64_t> readNumber(Poco::URI const& uri, std::string_view wanted)
 {
     for (auto const& [name, value] : uri.getQueryParameters()) {
@@ -68,11 +78,15 @@
         auto const format = readNumber(uri, compactParameter).value_or(0) ? BodyFormat::Compact : BodyFormat::Json;
         if (uri.getPath() == entriesPath)
             this->answer(session, this->sync.relay().snapshot(), format, std::nullopt);
-        else if (uri.getPath() == changesPath && revision)
+        else if (uri.getPath() == changesPath && revision) {
+            if (auto const node = readText(uri, nodeParameter); !node.empty())
+                this->nodeCounter.onSeen(node, Clock::now());
             this->answerChanges(session,
                 { *revision, readNumber(uri, "observation").value_or(0),
                     Milliseconds { static_cast<double>(readNumber(uri, "wait").value_or(0)) } },
                 format);
+        } else if (uri.getPath() == nodesPath)
+            this->handleNodeReport(session, request);
         else if (uri.getPath() == observationsPath)
             this->handleReport(session, request,
                 readNumber(uri, relayedParameter).value_or(0) ? ReportOrigin::Relay : ReportOrigin::Follower);
@@ -124,6 +138,14 @@
     session->respond(head, "");
 }
 
+void RelayServer::handleNodeReport(HttpServerSession::Pointer const& session, HttpServerRequest const& request)
+{
+    auto report = readNodeReport(request.body);
+    this->nodeCounter.onReport(report.relay, std::move(report.nodes), Clock::now());
+    HTTPResponse head(HTTPResponse::HTTP_OK);
+    session->respond(head, "");
+}
+
 void RelayServer::publish(std::span<TargetObservation const> observations)
 {
     this->feed.append(observations, Clock::now());
@@ -187,6 +209,7 @@
     // connect as well.
     this->sync.setFollowers(static_cast<uint32_t>(this->server.connections()));
     this->sync.addRelayStatus(update);
+    update.nodes = this->nodeCounter.count(Clock::now());
     HTTPResponse head(HTTPResponse::HTTP_OK);
     if (format == BodyFormat::Compact) {
         head.setContentType(compactUpdateType);
--- a/Libraries/GatewayNode/RelayServer.h
+++ b/Libraries/GatewayNode/RelayServer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Gateway/NodeCounter.h"
 #include "Gateway/ObservationFeed.h"
 #include "Gateway/RegistrySync.h"
 #include "GatewayNode/RelayCodec.h"
@@ -19,7 +20,11 @@
     static constexpr auto changesPath = "/v1/registry/changes";
     static constexpr auto entriesPath = "/v1/registry/entries";
     static constexpr auto observationsPath = "/v1/targets/observations";
+    /// Reports of other relays, writeNodeReport().
+    static constexpr auto nodesPath = "/v1/nodes";
     static constexpr Milliseconds maximumWait { 800 };
+    /// Query parameter of a request for changes: the name of the node, which is counted.
+    static constexpr auto nodeParameter = "node";
     /// Query parameter of a report that a relay sends; it is not passed on to other relays.
     static constexpr auto relayedParameter = "relayed";
 
@@ -41,6 +46,7 @@
 
     /// Adds observations to the feed and schedules their sending to the followers.
     void publish(std::span<TargetObservation const> observations);
+    NodeCounter& nodes() { return this->nodeCounter; }
 
 private:
     struct WaitingRequest {
@@ -71,6 +77,7 @@
         Relay,
     };
     void handleReport(HttpServerSession::Pointer const& session, HttpServerRequest const& request, ReportOrigin origin);
+    void handleNodeReport(HttpServerSession::Pointer const& session, HttpServerRequest const& request);
     RelayUpdate updateFor(RelayRequest const& request) const;
     void scheduleFlush();
     /// Answers all waiting requests, so that their followers receive the new observations.
@@ -85,6 +92,7 @@
     RegistrySync& sync;
     Hooks hooks;
     ObservationFeed feed;
+    NodeCounter nodeCounter;
     std::deque<CompressedEntries> compressedEntries;
     bool flushPending { false };
     EventLoop::Timer flushTimer;
--- a/Tests/Fuzz/FuzzInputs.cpp
+++ b/Tests/Fuzz/FuzzInputs.cpp
@@ -80,6 +80,8 @@
         R"({"observations":[]})",
     };
 
+    std::vector<std::string> const nodeReportSamples { R"({"relay":"front-1","nodes":[17,4294967295]})" };
+
     std::vector<std::string> const gatewaySettingsSamples {
         R"({"name":"n","failureDomain":"d","callerListen":"127.0.0.1:1","readyListen":"127.0.0.1:2",)"
         R"("registry":"127.0.0.1:3","relays":["127.0.0.1:4"],"extraAttempts":{"ratio":0.2,"allowance":1}})",
@@ -303,6 +305,15 @@
     }
 }
 
+static void readNodes(std::string_view text)
+{
+    try {
+        readNodeReport(text);
+    } catch (Error const&) {
+        // The report is answered with status 400.
+    }
+}
+
 static void readObservationReport(std::string_view text)
 {
     try {
@@ -337,6 +348,7 @@
         { "relayed-item", readRelayedItem, itemSamples },
         { "compact-news", readCompactRelayUpdate, itemSamples },
         { "observation-report", readObservationReport, reportSamples },
+        { "node-report", readNodes, nodeReportSamples },
         { "gateway-settings", readGatewaySettings, gatewaySettingsSamples },
     };
     return result;
--- /dev/null
+++ b/Tests/Gateway/TestNodeCounter.cpp
@@ -0,0 +1,66 @@
+#include "Gateway/NodeCounter.h"
+
+#include "CppUTest/TestHarness.h"
+
+using namespace Toucan;
+
+TEST_GROUP(NodeCounter)
+{
+    NodeCounter counter { 0_ms };
+    NodeCounter other { 0_ms };
+
+    /// The nodes "n0" to "nCOUNT-1" ask the relay.
+    static void see(NodeCounter & relay, size_t count, Milliseconds now)
+    {
+        for (size_t index = 0; index < count; ++index)
+            relay.onSeen("n" + std::to_string(index), now);
+    }
+};
+
+// Guards against a number that is too small because a relay has just started, which lets nodes exceed shared limits.
+TEST(NodeCounter, IsUnknownUntilAllNodesHaveHadTimeToCome)
+{
+    see(counter, 3, 1000_ms);
+    CHECK_FALSE(counter.count(5900_ms));
+    LONGS_EQUAL(3, counter.count(6100_ms).value());
+}
+
+// Guards against counting a node twice that asks several relays.
+TEST(NodeCounter, CountsTheNodesOfAllRelaysOnce)
+{
+    see(counter, 300, 9000_ms);
+    see(other, 470, 9000_ms);
+    counter.onReport("r2", other.seenHere(9000_ms), 9000_ms);
+    LONGS_EQUAL(470, counter.count(10000_ms).value());
+    counter.onReport("r3", { 1, 2, 3 }, 10000_ms);
+    LONGS_EQUAL(473, counter.count(10000_ms).value());
+    counter.onReport("r3", { 1 }, 10000_ms);
+    LONGS_EQUAL(471, counter.count(10000_ms).value());
+}
+
+// Guards against nodes that are counted forever after their end.
+TEST(NodeCounter, NodesThatEndedAreRemoved)
+{
+    see(counter, 7, 9000_ms);
+    see(counter, 5, 14000_ms);
+    LONGS_EQUAL(7, counter.count(14900_ms).value());
+    LONGS_EQUAL(5, counter.count(15100_ms).value());
+}
+
+// Guards against a number that is too small while only the relays have lost contact with each other.
+TEST(NodeCounter, NodesOfASilentRelayAreKeptForAWhile)
+{
+    see(counter, 2, 30000_ms);
+    counter.onReport("r2", { 1, 2, 3 }, 9000_ms);
+    LONGS_EQUAL(5, counter.count(30000_ms).value());
+    see(counter, 2, 39000_ms);
+    LONGS_EQUAL(2, counter.count(39100_ms).value());
+}
+
+// Guards against memory that grows with reports under ever new names.
+TEST(NodeCounter, ReportsAreBounded)
+{
+    for (uint32_t relay = 0; relay < 1000; ++relay)
+        counter.onReport("r" + std::to_string(relay), { relay }, 9000_ms);
+    LONGS_EQUAL(16, counter.count(9000_ms).value());
+}
--- a/Tests/Gateway/TestRegistrySync.cpp
+++ b/Tests/Gateway/TestRegistrySync.cpp
@@ -327,6 +327,33 @@
     LONGS_EQUAL(20, follower.estimatedNodes());
 }
 
+// Guards against dividing the rate limits of targets among fewer nodes than there are: before the first count, and when
+// a relay of an older version or one that has just started doesn't send it.
+TEST(RegistrySync, DividesRateLimitsByTheCountedNodes)
+{
+    auto& directory = fixture.gateway.sharedContext().directory;
+    follower.start();
+    lists[0](reply(5, {}));
+    LONGS_EQUAL(2, directory.sharingNodes());
+    auto received = update(5, {});
+    received.followers = 4;
+    follows[0].second(std::move(received));
+    LONGS_EQUAL(10, directory.sharingNodes());
+    received = update(5, {});
+    received.nodes = 7;
+    follows[1].second(std::move(received));
+    LONGS_EQUAL(7, directory.sharingNodes());
+    LONGS_EQUAL(7, follower.estimatedNodes());
+    follows[2].second(update(5, {}));
+    LONGS_EQUAL(7, directory.sharingNodes());
+    // Also with a state that is too old to be applied.
+    received = update(5, {});
+    received.nodes = 8;
+    received.age = 60000_ms;
+    follows[3].second(std::move(received));
+    LONGS_EQUAL(8, directory.sharingNodes());
+}
+
 // Guards against a follower that applies the older state of a relay.
 TEST(RegistrySync, StopsFollowingARelayThatIsBehind)
 {
--- a/Tests/Gateway/TestRelayCodec.cpp
+++ b/Tests/Gateway/TestRelayCodec.cpp
@@ -39,10 +39,12 @@
     update.age = 12_ms;
     update.failureDomain = "wien-a";
     update.lastObservation = 3;
+    update.nodes = 470;
     update.observations = { { "t1", 2.5, 10_ms } };
     auto const entries = compressEntries(events({ "first", "{\"second\":1}", "third" }), unchanged);
     auto const read = readCompactUpdate(writeCompactUpdate(update, entries), this->decoder());
     LONGS_EQUAL(7, read.revision);
+    LONGS_EQUAL(470, read.nodes.value_or(0));
     DOUBLES_EQUAL(12, read.age.value, 0);
     LONGS_EQUAL(1, read.observations.size());
     LONGS_EQUAL(hashTargetId("t1"), read.observations[0].idHash);
@@ -55,6 +57,17 @@
     LONGS_EQUAL(0, this->decoded.size());
 }
 
+// Guards against nodes that are lost between relays, and against a report of another layout.
+TEST(RelayCodec, NodeReportKeepsItsNodes)
+{
+    auto const read = readNodeReport(writeNodeReport({ "n1", { 0, 7, 4294967295 } }));
+    STRCMP_EQUAL("n1", read.relay.c_str());
+    LONGS_EQUAL(3, read.nodes.size());
+    CHECK(read.nodes.back() == 4294967295);
+    for (auto const* const odd : { "[]", "{}", R"({"relay":"a","nodes":[-1]})", R"({"relay":1,"nodes":[]})" })
+        CHECK_THROWS(Error, readNodeReport(odd));
+}
+
 // Guards against numbers that overflow a byte, and against accepting a body of another layout.
 TEST(RelayCodec, PackedObservationsKeepTheirRange)
 {
