Tell the other nodes of a target's rate limit and its end

Limits are now shared like other observations, beside them in the messages, so that nodes of the version before ignore them. Older news than a node's own is ignored, as is news from before it knew the incarnation.

--- a/Libraries/Gateway/GatewayTarget.h
+++ b/Libraries/Gateway/GatewayTarget.h
@@ -5,6 +5,7 @@
 #include "Gateway/TargetRateLimit.h"
 #include "Gateway/TargetRegistration.h"
 
+#include <algorithm>
 #include <functional>
 #include <optional>
 #include <vector>
@@ -78,6 +79,11 @@
     /// earlier. Has no effect when an earlier statement lasts longer.
     void waitUntil(Milliseconds end, Milliseconds returnAt);
     void setRateLimit(std::optional<TargetRateLimit> const& stated) { this->limit = stated; }
+    /// Called when this node learns at which rate limit, or without one, the target was at the given time.
+    void onRateLimitKnown(Milliseconds at) { this->limitKnownAt = std::max(this->limitKnownAt, at); }
+    /// Latest time as of which this node knows the rate limit or that there is none; 0 without an answer that showed
+    /// it.
+    Milliseconds rateLimitKnownAt() const { return this->limitKnownAt; }
     /// Null when the target states none.
     TargetRateLimit const* rateLimit() const { return this->limit ? &*this->limit : nullptr; }
     TargetRateLimit* rateLimit() { return this->limit ? &*this->limit : nullptr; }
@@ -134,6 +140,7 @@
     Milliseconds returnAt;
     bool returning { false };
     std::optional<TargetRateLimit> limit;
+    Milliseconds limitKnownAt;
     /// Times at which the running requests were sent, oldest first.
     std::vector<Milliseconds> sentTimes;
     double slowdownEstimate { 1 };
--- a/Libraries/Gateway/ObservationFeed.cpp
+++ b/Libraries/Gateway/ObservationFeed.cpp
@@ -15,6 +15,7 @@
         // Only the newest observation of a target counts, but a slowdown does not replace that the target leaves.
         std::erase_if(this->entries, [&observation](Entry const& entry) {
             return entry.observation.target == observation.target
+                && entry.observation.isAboutRateLimit() == observation.isAboutRateLimit()
                 && (observation.leaving || !entry.observation.leaving);
         });
         this->entries.push_back({ ++this->lastNumber, observation, now });
--- a/Libraries/Gateway/ObservationOutbox.cpp
+++ b/Libraries/Gateway/ObservationOutbox.cpp
@@ -19,7 +19,7 @@
     auto const now = this->hooks.now();
     if (this->pending.empty())
         this->hooks.schedule(now + collectTime, [this] { this->flush(); });
-    auto& entry = this->pending[observation.target];
+    auto& entry = this->pending[{ observation.target, observation.isAboutRateLimit() }];
     if (!entry.observation.leaving || observation.leaving)
         entry = { observation, now - observation.age };
 }
@@ -28,7 +28,7 @@
 {
     auto const now = this->hooks.now();
     std::vector<TargetObservation> observations;
-    for (auto const& [target, entry] : std::exchange(this->pending, {})) {
+    for (auto const& [subject, entry] : std::exchange(this->pending, {})) {
         observations.push_back(entry.observation);
         observations.back().age = now - entry.at;
     }
--- a/Libraries/Gateway/ObservationOutbox.h
+++ b/Libraries/Gateway/ObservationOutbox.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace Toucan {
@@ -20,7 +21,8 @@
 
     explicit ObservationOutbox(Hooks hooks);
 
-    /// Replaces an earlier observation of the same target in the batch, but not by a slowdown that the target leaves.
+    /// Replaces an earlier observation of the same target in the batch; a rate limit replaces only another rate limit,
+    /// and a slowdown does not replace that the target leaves.
     void add(TargetObservation const& observation);
 
 private:
@@ -32,7 +34,8 @@
     void flush();
 
     Hooks hooks;
-    std::map<std::string, Pending> pending;
+    /// By target, and whether the observation is about its rate limit.
+    std::map<std::pair<std::string, bool>, Pending> pending;
 };
 
 } // namespace Toucan
--- a/Libraries/Gateway/RegistrySync.cpp
+++ b/Libraries/Gateway/RegistrySync.cpp
@@ -269,7 +269,10 @@
                                                        : directory.find(observation.target);
         if (!target)
             continue;
-        if (!observation.leaving)
+        if (observation.isAboutRateLimit())
+            directory.onSharedRateLimit(
+                target, { *observation.rateLimit, this->context.hooks.random(), now - observation.age });
+        else if (!observation.leaving)
             target->onSharedSlowdown(observation.slowdown, now - observation.age);
         // An observation from before this node knew the target may be of an earlier incarnation.
         else if (now - observation.age >= target->knownSince())
--- a/Libraries/Gateway/TargetDirectory.cpp
+++ b/Libraries/Gateway/TargetDirectory.cpp
@@ -1,6 +1,5 @@
 #include "Gateway/TargetDirectory.h"
 
-#include "Gateway/TargetObservation.h"
 #include <algorithm>
 #include <set>
 
@@ -78,14 +77,30 @@
 
 void TargetDirectory::onRateLimit(TargetPointer const& target, RateLimitStatement const& statement)
 {
-    if (auto* const known = target->rateLimit())
+    target->onRateLimitKnown(statement.at);
+    auto* const known = target->rateLimit();
+    bool const isTighter = !known || known->requestsPerSecond() > statement.requestsPerSecond;
+    if (known)
         known->setRate(statement.requestsPerSecond, statement.at);
     else
         target->setRateLimit(
             TargetRateLimit(statement.requestsPerSecond, 1.0 / this->nodes, statement.phase, statement.at));
     if (target->isRemoved())
         this->rememberNotice(*target);
-    this->withdraw(target->registration().address);
+    if (isTighter)
+        this->withdraw(target->registration().address);
+}
+
+bool TargetDirectory::onSharedRateLimit(TargetPointer const& target, RateLimitStatement const& statement)
+{
+    if (statement.at < target->knownSince() || statement.at <= target->rateLimitKnownAt())
+        return false;
+    auto const* const known = target->rateLimit();
+    if (statement.requestsPerSecond != noRateLimit)
+        this->onRateLimit(target, statement);
+    else if (known)
+        this->onRateLimitEnded(target, statement.at);
+    return true;
 }
 
 void TargetDirectory::setSharingNodes(uint32_t count, Milliseconds now)
@@ -99,8 +114,9 @@
     }
 }
 
-void TargetDirectory::onRateLimitEnded(TargetPointer const& target)
+void TargetDirectory::onRateLimitEnded(TargetPointer const& target, Milliseconds at)
 {
+    target->onRateLimitKnown(at);
     auto const& registration = target->registration();
     target->setRateLimit(std::nullopt);
     if (auto const present = this->find(registration.id);
--- a/Libraries/Gateway/TargetDirectory.h
+++ b/Libraries/Gateway/TargetDirectory.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Gateway/GatewayTarget.h"
+#include "Gateway/TargetObservation.h"
 
 #include <functional>
 #include <map>
@@ -31,7 +32,7 @@
     };
 
     struct RateLimitStatement {
-        /// 0 or more.
+        /// 0 or more; noRateLimit in onSharedRateLimit() when the target states none any more.
         double requestsPerSecond { 0 };
         /// Random number in [0, 1); see TargetRateLimit.
         double phase { 0 };
@@ -56,8 +57,11 @@
     /// Records the rate limit that the target states; it lasts until onRateLimitEnded(), also when its entry lapses and
     /// comes back, or until a newer incarnation registers.
     void onRateLimit(TargetPointer const& target, RateLimitStatement const& statement);
-    /// Records that the target no longer states a rate limit.
-    void onRateLimitEnded(TargetPointer const& target);
+    /// Records that the target no longer states a rate limit, as of the given time.
+    void onRateLimitEnded(TargetPointer const& target, Milliseconds at);
+    /// Applies what the target stated to another node, unless this node knows a later statement or has not known this
+    /// incarnation for as long. Returns whether this is news.
+    bool onSharedRateLimit(TargetPointer const& target, RateLimitStatement const& statement);
     /// Sets the number of nodes that share the rate limits of targets; 0 changes nothing.
     void setSharingNodes(uint32_t count, Milliseconds now);
     uint32_t sharingNodes() const { return this->nodes; }
--- a/Libraries/Gateway/TargetNoticeRecorder.cpp
+++ b/Libraries/Gateway/TargetNoticeRecorder.cpp
@@ -13,6 +13,8 @@
 /// end, so that they don't return at once.
 constexpr double returnSpreadShare = 0.25;
 constexpr Milliseconds maximumReturnSpread { 500 };
+/// Least change of a rate limit that the other nodes are told; they see smaller ones in their own answers.
+constexpr double minimumSharedLimitChange = 1.1;
 /// Longest part of an unusable value that is logged, in bytes.
 constexpr size_t maximumLoggedValue = 100;
 
@@ -53,33 +55,46 @@
 {
     auto const* const limit = source.target->rateLimit();
     return limit && source.chosenAt >= limit->statedAt() && head.has(context.headers.signature)
+        && head.getStatus() != HTTPResponse::HTTP_MISDIRECTED_REQUEST
         && answersRequest(head, source.requestId, false, context.headers);
 }
 
-static void recordRateLimit(
-    GatewayContext& context, NoticeSource const& source, TargetNotice const& notice, HTTPResponse const& head)
+static void shareRateLimit(GatewayContext& context, NoticeSource const& source, double requestsPerSecond)
+{
+    if (context.mechanisms.isEnabled(Mechanism::SharedObservations))
+        context.outbox.add({ .target = source.target->registration().id, .rateLimit = requestsPerSecond });
+}
+
+static void recordRateLimitEnd(GatewayContext& context, NoticeSource const& source)
 {
     auto const& registration = source.target->registration();
-    if (!notice.rateLimit) {
-        if (!notice.unusableRateLimit.empty() || !showsNoRateLimit(context, source, head))
-            return;
-        auto const& sent = source.target->rateLimit()->sent();
-        context.log.line("target-limit-ended",
-            { { "request", source.requestId }, { "target", registration.id }, { "service", registration.service },
-                { "sent", std::to_string(sent.all) }, { "hedges", std::to_string(sent.hedges) },
-                { "retries", std::to_string(sent.retries) }, { "chosen_before", std::to_string(sent.chosenBefore) } });
-        context.directory.onRateLimitEnded(source.target);
-        return;
-    }
+    auto const& sent = source.target->rateLimit()->sent();
+    context.log.line("target-limit-ended",
+        { { "request", source.requestId }, { "target", registration.id }, { "service", registration.service },
+            { "sent", std::to_string(sent.all) }, { "hedges", std::to_string(sent.hedges) },
+            { "retries", std::to_string(sent.retries) }, { "chosen_before", std::to_string(sent.chosenBefore) } });
+    context.directory.onRateLimitEnded(source.target, context.hooks.now());
+    shareRateLimit(context, source, noRateLimit);
+}
+
+static void recordRateLimit(GatewayContext& context, NoticeSource const& source, double requestsPerSecond)
+{
     auto const* const known = source.target->rateLimit();
-    if (known && known->requestsPerSecond() == *notice.rateLimit)
+    bool const isFirst = !known;
+    auto const before = known ? known->requestsPerSecond() : noRateLimit;
+    context.directory.onRateLimit(source.target, { requestsPerSecond, context.hooks.random(), context.hooks.now() });
+    if (before == requestsPerSecond)
         return;
     context.metrics.count("target_limits");
+    auto const& registration = source.target->registration();
     context.log.line("target-limit",
         { { "request", source.requestId }, { "target", registration.id }, { "service", registration.service },
-            { "per_second", Poco::NumberFormatter::format(*notice.rateLimit, 2) },
-            { "before", known ? Poco::NumberFormatter::format(known->requestsPerSecond(), 2) : "none" } });
-    context.directory.onRateLimit(source.target, { *notice.rateLimit, context.hooks.random(), context.hooks.now() });
+            { "per_second", Poco::NumberFormatter::format(requestsPerSecond, 2) },
+            { "before", isFirst ? "none" : Poco::NumberFormatter::format(before, 2) },
+            { "nodes", std::to_string(context.directory.sharingNodes()) } });
+    auto const [lower, higher] = std::minmax(before, requestsPerSecond);
+    if (higher >= lower * minimumSharedLimitChange)
+        shareRateLimit(context, source, requestsPerSecond);
 }
 
 void recordNotice(GatewayContext& context, NoticeSource const& source, HTTPResponse const& head)
@@ -87,8 +102,10 @@
     auto const notice = readNotice(head, context.headers);
     if (notice.leaving)
         recordLeaving(context, source);
-    if (head.getStatus() != HTTPResponse::HTTP_MISDIRECTED_REQUEST)
-        recordRateLimit(context, source, notice, head);
+    if (notice.rateLimit)
+        recordRateLimit(context, source, *notice.rateLimit);
+    else if (notice.unusableRateLimit.empty() && showsNoRateLimit(context, source, head))
+        recordRateLimitEnd(context, source);
     logUnusable(context, source, "retry-after-out-of-range", notice.unusableWait);
     logUnusable(context, source, "target-limit-unusable", notice.unusableRateLimit);
     if (notice.wait)
--- a/Libraries/Gateway/TargetObservation.cpp
+++ b/Libraries/Gateway/TargetObservation.cpp
@@ -7,6 +7,17 @@
 
 uint32_t hashTargetId(std::string_view target) { return static_cast<uint32_t>(hash64(target)); }
 
+static std::string describe(TargetObservation const& observation)
+{
+    if (observation.leaving)
+        return "leaving";
+    if (!observation.isAboutRateLimit())
+        return Poco::NumberFormatter::format(observation.slowdown, 2);
+    if (*observation.rateLimit == noRateLimit)
+        return "no-limit";
+    return "limit-" + Poco::NumberFormatter::format(*observation.rateLimit, 2);
+}
+
 std::string toString(std::span<TargetObservation const> observations)
 {
     std::string text;
@@ -14,7 +25,7 @@
         auto const name
             = observation.target.empty() ? Poco::NumberFormatter::formatHex(observation.idHash) : observation.target;
         text += (text.empty() ? "" : ",") + name + ":";
-        text += observation.leaving ? "leaving" : Poco::NumberFormatter::format(observation.slowdown, 2);
+        text += describe(observation);
     }
     return text;
 }
--- a/Libraries/Gateway/TargetObservation.h
+++ b/Libraries/Gateway/TargetObservation.h
@@ -3,13 +3,15 @@
 #include "Base/Clock.h"
 
 #include <cstdint>
+#include <limits>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
 
 namespace Toucan {
 
-/// What a target reported to one node, for the other nodes: its slowdown, or that it leaves.
+/// What a target reported to one node, for the other nodes: its slowdown, that it leaves, or its rate limit.
 struct TargetObservation {
     /// Id of the target's registration; empty when only its hash is known.
     std::string target;
@@ -21,13 +23,21 @@
     uint32_t idHash { 0 };
     /// The target said that it is about to stop; `slowdown` has no meaning then.
     bool leaving { false };
+    /// The rate limit that the target states, in requests per second; `slowdown` has no meaning then.
+    std::optional<double> rateLimit {};
+
+    bool isAboutRateLimit() const { return this->rateLimit.has_value(); }
 };
 
+/// Value of TargetObservation::rateLimit when the target no longer states a limit.
+constexpr double noRateLimit = std::numeric_limits<double>::infinity();
+
 /// Hash that identifies a target in compact messages between nodes, which all know its id. Two targets may have the
 /// same hash.
 uint32_t hashTargetId(std::string_view target);
 
-/// Formats the observations for the log: "TARGET:SLOWDOWN" or "TARGET:leaving", separated by commas.
+/// Formats the observations for the log: "TARGET:SLOWDOWN", "TARGET:leaving", "TARGET:limit-RATE" or
+/// "TARGET:no-limit", separated by commas.
 std::string toString(std::span<TargetObservation const> observations);
 
 } // namespace Toucan
--- a/Libraries/GatewayNode/RelayCodec.cpp
+++ b/Libraries/GatewayNode/RelayCodec.cpp
@@ -33,6 +33,8 @@
 {
     Json::Value list(Json::arrayValue);
     for (auto const& observation : observations) {
+        if (observation.isAboutRateLimit())
+            continue;
         Json::Value entry(Json::arrayValue);
         entry.append(observation.target);
         auto const percentage
@@ -62,10 +64,44 @@
     return observations;
 }
 
+/// Rate limits are written apart, because versions that don't know them ignore unknown fields, but not unknown kinds of
+/// observations.
+static Json::Value writeLimitArray(std::span<TargetObservation const> observations)
+{
+    Json::Value list(Json::arrayValue);
+    for (auto const& observation : observations) {
+        if (!observation.isAboutRateLimit())
+            continue;
+        Json::Value entry(Json::arrayValue);
+        entry.append(observation.target.empty() ? observation.idHash : hashTargetId(observation.target));
+        entry.append(std::isfinite(*observation.rateLimit) ? Json::Value(*observation.rateLimit) : Json::Value());
+        entry.append(wholeMilliseconds(observation.age));
+        list.append(std::move(entry));
+    }
+    return list;
+}
+
+static void readLimitArray(Json::Value const& list, std::vector<TargetObservation>& observations)
+{
+    for (auto const& entry : list) {
+        bool const valid = entry.isArray() && entry.size() == 3 && entry[0].isUInt()
+            && (entry[1].isNull() || (entry[1].isNumeric() && entry[1].asDouble() >= 0)) && entry[2].isUInt();
+        if (!valid)
+            throw Error(ErrorKind::InvalidInput, "A rate limit is not [target hash, limit, age]",
+                "Run the same version on all nodes");
+        TargetObservation observation;
+        observation.idHash = entry[0].asUInt();
+        observation.rateLimit = entry[1].isNull() ? noRateLimit : entry[1].asDouble();
+        observation.age = { entry[2].asDouble() };
+        observations.push_back(std::move(observation));
+    }
+}
+
 std::string writeObservations(std::span<TargetObservation const> observations)
 {
     Json::Value body(Json::objectValue);
     body["observations"] = writeObservationArray(observations);
+    body["limits"] = writeLimitArray(observations);
     return writeJson(body);
 }
 
@@ -74,7 +110,9 @@
     auto const document = parseJson(body);
     if (!document.isObject() || !document["observations"].isArray())
         throw Error(ErrorKind::InvalidInput, "The body has no observations", "Run the same version on all nodes");
-    return readObservationArray(document["observations"]);
+    auto observations = readObservationArray(document["observations"]);
+    readLimitArray(document["limits"], observations);
+    return observations;
 }
 
 std::string writeNodeReport(NodeReport const& report)
@@ -119,6 +157,8 @@
     std::string bytes;
     bytes.reserve(observations.size() * packedBytes);
     for (auto const& observation : observations) {
+        if (observation.isAboutRateLimit())
+            continue;
         auto const hash = observation.target.empty() ? observation.idHash : hashTargetId(observation.target);
         for (unsigned shift = 0; shift < 32; shift += 8)
             bytes += static_cast<char>(static_cast<uint8_t>(hash >> shift));
@@ -159,6 +199,8 @@
     body["followers"] = update.followers;
     if (update.nodes)
         body["nodes"] = *update.nodes;
+    if (auto limits = writeLimitArray(update.observations); !limits.empty())
+        body["limits"] = std::move(limits);
     body["lastObservation"] = Json::UInt64 { update.lastObservation };
     return body;
 }
@@ -233,6 +275,7 @@
     if (document["lastObservation"].isUInt64())
         update.lastObservation = document["lastObservation"].asUInt64();
     update.observations = readObservationArray(document["observations"]);
+    readLimitArray(document["limits"], update.observations);
     return update;
 }
 
@@ -243,8 +286,10 @@
         throw Error(ErrorKind::InvalidInput, "A relay's answer has no entries", "Run the same version on all nodes");
     auto const fields = parseJson(body.substr(0, end));
     auto update = readUpdateFields(fields);
-    if (fields["packed"].isString())
-        update.observations = unpackObservations(decodeBase64(fields["packed"].asString()));
+    if (fields["packed"].isString()) {
+        auto const packed = unpackObservations(decodeBase64(fields["packed"].asString()));
+        update.observations.insert(update.observations.end(), packed.begin(), packed.end());
+    }
     auto const compressed = body.substr(end + 1);
     if (compressed.empty())
         return update;
--- a/Libraries/GatewayNode/RelayCodec.h
+++ b/Libraries/GatewayNode/RelayCodec.h
@@ -24,7 +24,7 @@
 std::string compressEntries(std::span<RegistryEvent const> events, RegistryCompactor const& compact);
 
 /// Observations in six bytes each: the hash of the target's id (four bytes, least significant first), the slowdown as a
-/// logarithm or 255 for a target that leaves, and the age in units of 10 ms.
+/// logarithm or 255 for a target that leaves, and the age in units of 10 ms. Rate limits are left out.
 std::string packObservations(std::span<TargetObservation const> observations);
 /// Throws Error of kind InvalidInput when the length is not a multiple of six.
 std::vector<TargetObservation> unpackObservations(std::string_view bytes);
@@ -48,13 +48,14 @@
 NodeReport readNodeReport(std::string_view body);
 
 /// JSON body of an update: {"revision", "ageMs", "outageEndedMs", "failureDomain", "followers", "nodes",
-/// "entries": [text], "observations": [[target, slowdown, age in ms]], "lastObservation"}.
+/// "entries": [text], "observations": [[target, slowdown, age in ms]], "limits": [[hash of the target's id, requests
+/// per second or null for no limit, age in ms]], "lastObservation"}.
 std::string writeRelayUpdate(RelayUpdate const& update);
 
 /// Throws Error of kind InvalidInput when the body cannot be read.
 RelayUpdate readRelayUpdate(std::string_view body, RegistryDecoder const& decode);
 
-/// JSON body {"observations"}, as above.
+/// JSON body {"observations", "limits"}, as above.
 std::string writeObservations(std::span<TargetObservation const> observations);
 /// Throws Error of kind InvalidInput when the body cannot be read.
 std::vector<TargetObservation> readObservations(std::string_view body);
--- a/Tests/Gateway/TestTargetRateLimit.cpp
+++ b/Tests/Gateway/TestTargetRateLimit.cpp
@@ -1,5 +1,6 @@
 #include "Gateway/TargetNotice.h"
 #include "GatewayFixture.h"
+#include "GatewayNode/RelayCodec.h"
 #include "LoadHarness.h"
 
 #include "CppUTest/TestHarness.h"
@@ -285,3 +286,68 @@
         CHECK(harness.result("fetch").inTime >= harness.result("fetch").asked * 97 / 100);
     }
 }
+
+// Guards against nodes that learn of a limit or of its end only from their own requests, which are rare under the
+// limit.
+TEST(TargetRateLimit, OtherNodesAreToldOfTheLimitAndItsEnd)
+{
+    auto const shared = [this] {
+        fixture.advance(1000_ms);
+        std::string text;
+        for (auto const& observations : std::exchange(fixture.sharedObservations, {}))
+            text += toString(observations) + ";";
+        return text;
+    };
+    answerFromNear(stated("25"));
+    STRCMP_EQUAL("near:limit-25.00;", shared().c_str());
+    answerFromNear(stated("26"));
+    STRCMP_EQUAL("", shared().c_str());
+    answerFromNear(stated("12"));
+    STRCMP_EQUAL("near:limit-12.00;", shared().c_str());
+    answerFromNear({});
+    STRCMP_EQUAL("near:no-limit;", shared().c_str());
+}
+
+// Guards against applying what another node was told before this node's own knowledge, or by an earlier incarnation.
+TEST(TargetRateLimit, OlderNewsOfOtherNodesIsIgnored)
+{
+    auto const near = directory().find("near");
+    auto const receive = [this, &near](double limit, Milliseconds age) {
+        directory().onSharedRateLimit(near, { limit, 0, fixture.time - age });
+    };
+    receive(25, 1_ms);
+    CHECK_FALSE(near->rateLimit());
+    fixture.advance(100_ms);
+    receive(25, 10_ms);
+    DOUBLES_EQUAL(25, near->rateLimit()->requestsPerSecond(), 1e-9);
+    receive(noRateLimit, 20_ms);
+    CHECK(near->rateLimit());
+    receive(noRateLimit, 5_ms);
+    CHECK_FALSE(near->rateLimit());
+    receive(25, 5_ms);
+    CHECK_FALSE(near->rateLimit());
+    answerFromNear(stated("30"));
+    receive(noRateLimit, 1_ms);
+    DOUBLES_EQUAL(30, near->rateLimit()->requestsPerSecond(), 1e-9);
+}
+
+// Guards against limits that the encoding between nodes changes, or that nodes of the version before can't read.
+TEST(TargetRateLimit, LimitsAreEncodedBesideTheObservations)
+{
+    std::vector<TargetObservation> const observations { { "t1", 7, 35_ms }, { .target = "t1", .rateLimit = 25.5 },
+        { .target = "t2", .rateLimit = noRateLimit } };
+    auto const read = readObservations(writeObservations(observations));
+    LONGS_EQUAL(3, read.size());
+    LONGS_EQUAL(hashTargetId("t1"), read[1].idHash);
+    DOUBLES_EQUAL(25.5, *read[1].rateLimit, 1e-9);
+    CHECK(*read[2].rateLimit == noRateLimit);
+    LONGS_EQUAL(6, packObservations(observations).size());
+    RelayUpdate update;
+    update.observations = observations;
+    auto const none = [](std::string const&) { return std::nullopt; };
+    LONGS_EQUAL(3, readCompactUpdate(writeCompactUpdate(update, ""), none).observations.size());
+    LONGS_EQUAL(3, readRelayUpdate(writeRelayUpdate(update), none).observations.size());
+    for (auto const* const odd : { R"({"observations":[],"limits":[[1,-2,0]]})",
+             R"({"observations":[],"limits":[["t",2,0]]})", R"({"observations":[],"limits":[[1,2]]})" })
+        CHECK_THROWS(std::exception, readObservations(odd));
+}
