Play rate limits of targets in the soak

A fault in which a target, or all of a service, state a rate limit of 2 to 30 requests a second for more than a window, and the check of what arrives from the nodes that were told.

--- a/Scripts/gateway_soak.py
+++ b/Scripts/gateway_soak.py
@@ -47,8 +47,12 @@
 # Time after which requests that were on their way to a target that wants none have arrived, and the number of later ones
 # that may reach it.
 TRANSIT_S, WAIT_ARRIVALS = 0.5, 2
+# Most requests that may reach a target under a rate limit in any window, from nodes that have known the limit for
+# TRANSIT_S.
+LIMIT_WINDOW_S, LIMIT_FACTOR, LIMIT_EXTRA = 4.0, 1.5, 5
 # Faults that the seeds before them were found without; a seed plays the same faults only among the same names.
-NEWER_FAULTS = frozenset({"fault_target_leaves", "fault_target_turns_away"})
+NEWEST_FAULTS = frozenset({"fault_target_limits_rate"})
+NEWER_FAULTS = frozenset({"fault_target_leaves", "fault_target_turns_away"}) | NEWEST_FAULTS
 # Tolerance beyond the deadline, for scheduling delays on a busy machine.
 DEADLINE_SLACK_S = 0.5
 
@@ -107,6 +111,8 @@
         # Targets that said in their answers that they leave, with the time since which they do, and the time of their
         # restart if there was one.
         self.leavings = []
+        # Rate limits that targets have stated: start, end, requests per second and target.
+        self.limits = []
         # Time of publication by the path prefix of the version's route.
         self.published_at = {}
 
@@ -366,6 +372,20 @@
             target.behaviour = target.retry_after = None
             self.release(target)
 
+    def fault_target_limits_rate(self, seconds):
+        """One target, or all of a service, state a rate limit for more than a window."""
+        service = self.random.choice((None, *SHARDS, "single"))
+        targets = [target for target in self.targets if service in (None, target.service)]
+        chosen = [self.pick([target]) for target in (targets if service else [self.random.choice(targets)])]
+        for target in filter(None, chosen):
+            target.rate_limit = self.random.choice((2, 5.5, 12, 30))
+        start = time.monotonic()
+        time.sleep(LIMIT_WINDOW_S + seconds)
+        for target in filter(None, chosen):
+            self.history.limits.append((start, time.monotonic(), target.rate_limit, target))
+            target.rate_limit = None
+            self.release(target)
+
     def replace_stopped(self, target):
         """Replaces a stopped target by a new one with another identity at the same address."""
         self.stopped_targets.append(target)
@@ -523,6 +543,7 @@
         self.check_drains()
         self.check_leavings()
         self.check_waits()
+        self.check_limits()
         self.check_extra_attempts()
         answered = sum(1 for call in self.calls if call["status"] == 200)
         self.soak.report(f"seed {self.soak.seed}: {len(self.calls)} requests, {answered} answered with success, "
@@ -620,12 +641,7 @@
         """
         sent = {call["id"]: call for call in self.calls}
         for since, target in self.soak.history.leavings:
-            ran = {run["id"] for run in target.runs if run["at"] > since}
-            told = {}
-            for call in sorted(self.calls, key=lambda entry: entry["end"]):
-                stamped = any(stamp.split(".")[0] == target.identity for stamp in call["stamps"])
-                if call["status"] == 200 and stamped and call["id"] in ran:
-                    told.setdefault((call["node"], call["pid"]), call["end"])
+            told = self.told_nodes(target, since)
             for arrival in target.arrivals:
                 call = sent.get(arrival["id"])
                 passed_on = told.get((call["node"], call["pid"])) if call else None
@@ -636,6 +652,36 @@
                         f"{call['node']} had passed on that it leaves")
                     break
 
+    def told_nodes(self, target, since):
+        """Time at which each node process first passed on an answer that the target has sent after `since`."""
+        ran = {run["id"] for run in target.runs if run["at"] > since}
+        told = {}
+        for call in sorted(self.calls, key=lambda entry: entry["end"]):
+            stamped = any(stamp.split(".")[0] == target.identity for stamp in call["stamps"])
+            if call["status"] == 200 and stamped and call["id"] in ran:
+                told.setdefault((call["node"], call["pid"]), call["end"])
+        return told
+
+    def check_limits(self):
+        """The nodes that were told of a target's rate limit keep to it together, but for LIMIT_FACTOR and LIMIT_EXTRA.
+
+        Only a restart or a pause of a node since then excuses its requests.
+        """
+        sent = {call["id"]: call for call in self.calls}
+        for since, until, limit, target in self.soak.history.limits:
+            told = self.told_nodes(target, since)
+            times = []
+            for arrival in target.arrivals:
+                call = sent.get(arrival["id"])
+                passed_on = told.get((call["node"], call["pid"])) if call else None
+                if passed_on and passed_on + TRANSIT_S < arrival["at"] < until \
+                        and not self.was_node_disturbed(call["node"], passed_on, arrival["at"]):
+                    times.append(arrival["at"])
+            most = max((sum(start <= at < start + LIMIT_WINDOW_S for at in times) for start in times), default=0)
+            if most > LIMIT_FACTOR * limit * LIMIT_WINDOW_S + LIMIT_EXTRA:
+                self.found_breaches.append(f"LIMIT: {target.identity} received {most} requests in {LIMIT_WINDOW_S} s "
+                                           f"under a limit of {limit} a second")
+
     def check_waits(self):
         """At most WAIT_ARRIVALS requests of a node reach a target that has told it to wait, apart from those in transit."""
         sent = {call["id"]: call for call in self.calls}
