Count no fewer nodes while they do not follow the relays

A number that is too small lets nodes exceed the limits that they share. A relay now keeps absent nodes while its own state is outdated, and a report of a relay that has just started adds to its earlier one.

--- a/Libraries/Gateway/NodeCounter.cpp
+++ b/Libraries/Gateway/NodeCounter.cpp
@@ -1,14 +1,10 @@
 #include "Gateway/NodeCounter.h"
 
 #include "Base/Hash.h"
-#include <algorithm>
-#include <set>
-#include <utility>
 
 namespace Toucan {
 
-/// A node asks a relay at least each second, and one whose state is outdated, as in an outage of the registry, at least
-/// each 5 s.
+/// A node asks a relay at least each second, and turns to another one within three seconds when it does not answer.
 constexpr Milliseconds nodeLifetime { 6000 };
 /// The nodes of a relay that no longer reports are counted for longer: they may still run where only the relays have
 /// lost contact with each other.
@@ -26,30 +22,47 @@
     this->lastSeen[static_cast<uint32_t>(hash64(node))] = now;
 }
 
-void NodeCounter::onReport(std::string const& relay, std::vector<uint32_t> nodes, Milliseconds now)
+void NodeCounter::onReport(NodeReport const& report, Milliseconds now)
 {
-    if (this->reports.size() < maximumReports || this->reports.contains(relay))
-        this->reports[relay] = { std::move(nodes), now };
+    if (this->reports.size() >= maximumReports && !this->reports.contains(report.relay))
+        return;
+    auto& received = this->reports[report.relay];
+    if (report.isComplete)
+        received.nodes.clear();
+    received.nodes.insert(report.nodes.begin(), report.nodes.end());
+    received.at = now;
 }
 
-std::vector<uint32_t> NodeCounter::seenHere(Milliseconds now)
+void NodeCounter::keepAbsent(Milliseconds now) { this->keptUntil = now + nodeLifetime; }
+
+bool NodeCounter::isComplete(Milliseconds now) const { return now - this->startedAt >= nodeLifetime; }
+
+void NodeCounter::removeAbsent(Milliseconds now)
+{
+    std::erase_if(this->reports, [now](auto const& entry) { return now - entry.second.at > reportLifetime; });
+    if (now >= this->keptUntil)
+        std::erase_if(this->lastSeen, [now](auto const& entry) { return now - entry.second > nodeLifetime; });
+}
+
+NodeReport NodeCounter::report(std::string const& name, Milliseconds now)
 {
-    std::erase_if(this->lastSeen, [now](auto const& entry) { return now - entry.second > nodeLifetime; });
-    std::vector<uint32_t> nodes;
+    this->removeAbsent(now);
+    NodeReport report { name, {}, this->isComplete(now) };
     for (auto const& [node, at] : this->lastSeen)
-        nodes.push_back(node);
-    return nodes;
+        report.nodes.push_back(node);
+    return report;
 }
 
 std::optional<uint32_t> NodeCounter::count(Milliseconds now)
 {
-    if (now - this->startedAt < nodeLifetime)
+    if (!this->isComplete(now))
         return std::nullopt;
-    std::erase_if(this->reports, [now](auto const& entry) { return now - entry.second.at > reportLifetime; });
-    auto const here = this->seenHere(now);
-    std::set<uint32_t> nodes(here.begin(), here.end());
-    for (auto const& [relay, report] : this->reports)
-        nodes.insert(report.nodes.begin(), report.nodes.end());
+    this->removeAbsent(now);
+    std::set<uint32_t> nodes;
+    for (auto const& [node, at] : this->lastSeen)
+        nodes.insert(node);
+    for (auto const& [relay, received] : this->reports)
+        nodes.insert(received.nodes.begin(), received.nodes.end());
     return static_cast<uint32_t>(nodes.size());
 }
 
--- a/Libraries/Gateway/NodeCounter.h
+++ b/Libraries/Gateway/NodeCounter.h
@@ -5,12 +5,23 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
 
 namespace Toucan {
 
+/// The nodes that a relay has seen within the last seconds.
+struct NodeReport {
+    /// Name of the relay.
+    std::string relay;
+    /// Hashes of the names of the nodes.
+    std::vector<uint32_t> nodes;
+    /// Whether all nodes that follow the relay have had time to come since it started.
+    bool isComplete { true };
+};
+
 /// Counts the nodes of a deployment on a relay: those that follow this relay, and those that the other relays report to
 /// follow them. A node that follows several relays counts once.
 class NodeCounter {
@@ -20,23 +31,33 @@
 
     /// Called when a request of a node arrives, and for this relay itself.
     void onSeen(std::string_view node, Milliseconds now);
-    /// Replaces what the relay has reported before; `nodes` are its seenHere().
-    void onReport(std::string const& relay, std::vector<uint32_t> nodes, Milliseconds now);
+    /// Replaces what the relay has reported before, or adds to it while the report is not complete.
+    void onReport(NodeReport const& report, Milliseconds now);
+
+    /// What this relay, named `name`, reports to the others.
+    NodeReport report(std::string const& name, Milliseconds now);
+
+    /// Called while nodes do not follow this relay because its state is outdated: their absence does not show that they
+    /// have ended, so none is removed until they have had time to come back.
+    void keepAbsent(Milliseconds now);
 
-    /// Hashes of the names of the nodes seen here within the last seconds.
-    std::vector<uint32_t> seenHere(Milliseconds now);
     /// Number of nodes; empty while it is not known.
     std::optional<uint32_t> count(Milliseconds now);
 
 private:
-    struct Report {
-        std::vector<uint32_t> nodes;
+    struct Received {
+        std::set<uint32_t> nodes;
         Milliseconds at;
     };
 
+    bool isComplete(Milliseconds now) const;
+    void removeAbsent(Milliseconds now);
+
     Milliseconds startedAt;
+    /// No node that was seen here is removed before this time.
+    Milliseconds keptUntil;
     std::map<uint32_t, Milliseconds> lastSeen;
-    std::map<std::string, Report> reports;
+    std::map<std::string, Received> reports;
 };
 
 } // namespace Toucan
--- a/Libraries/Gateway/RegistrySync.cpp
+++ b/Libraries/Gateway/RegistrySync.cpp
@@ -66,6 +66,8 @@
     return static_cast<uint32_t>(this->relayCount) * (largestCount + 1);
 }
 
+bool RegistrySync::isFollowable() const { return this->now() - this->lastContactAt <= maximumStaleness; }
+
 void RegistrySync::updateNodes(std::optional<uint32_t> counted)
 {
     if (counted)
--- a/Libraries/Gateway/RegistrySync.h
+++ b/Libraries/Gateway/RegistrySync.h
@@ -58,6 +58,8 @@
     /// Number of nodes of the deployment that the relays have counted; until then an estimate that assumes that every
     /// relay has as many followers as the one with the most, and 0 without relays.
     uint32_t estimatedNodes() const;
+    /// Whether the state is recent enough for other nodes to follow this one.
+    bool isFollowable() const;
     /// Sets the number of nodes that share the rate limits of targets: the counted one, or while none was counted the
     /// greater of the estimate and the assumed one.
     void updateNodes(std::optional<uint32_t> counted);
--- a/Libraries/GatewayNode/GatewayServer.cpp
+++ b/Libraries/GatewayNode/GatewayServer.cpp
@@ -180,10 +180,12 @@
     auto const now = Clock::now();
     auto& nodes = this->relayServer->nodes();
     nodes.onSeen(this->settings.name, now);
+    if (!this->registry.isFollowable())
+        nodes.keepAbsent(now);
     this->registry.updateNodes(nodes.count(now));
     for (auto const& relay : this->settings.relays) {
         if (relay != this->settings.relayListen)
-            this->relayClient.reportNodes(relay, { this->settings.name, nodes.seenHere(now) });
+            this->relayClient.reportNodes(relay, nodes.report(this->settings.name, now));
     }
     this->loop.schedule(now + nodeReportPeriod, [this] { this->countNodes(); });
 }
--- a/Libraries/GatewayNode/RelayCodec.cpp
+++ b/Libraries/GatewayNode/RelayCodec.cpp
@@ -119,6 +119,7 @@
 {
     Json::Value body(Json::objectValue);
     body["relay"] = report.relay;
+    body["complete"] = report.isComplete;
     body["nodes"] = Json::Value(Json::arrayValue);
     for (auto const node : report.nodes)
         body["nodes"].append(node);
@@ -128,9 +129,12 @@
 NodeReport readNodeReport(std::string_view body)
 {
     auto const document = parseJson(body);
-    if (!document.isObject() || !document["relay"].isString() || !document["nodes"].isArray())
-        throw Error(ErrorKind::InvalidInput, "The body has no relay or no nodes", "Run the same version on all nodes");
-    NodeReport report { document["relay"].asString(), {} };
+    bool const valid = document.isObject() && document["relay"].isString() && document["nodes"].isArray()
+        && document["complete"].isBool();
+    if (!valid)
+        throw Error(
+            ErrorKind::InvalidInput, "The body lacks relay, nodes or complete", "Run the same version on all nodes");
+    NodeReport report { document["relay"].asString(), {}, document["complete"].asBool() };
     for (auto const& node : document["nodes"]) {
         if (!node.isUInt())
             throw Error(ErrorKind::InvalidInput, "A node is not a number", "Run the same version on all nodes");
--- a/Libraries/GatewayNode/RelayCodec.h
+++ b/Libraries/GatewayNode/RelayCodec.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Gateway/NodeCounter.h"
 #include "Gateway/RegistryRelay.h"
 
 #include <functional>
@@ -36,13 +37,7 @@
 /// Throws Error of kind InvalidInput when the body cannot be read, or holds more than 8 MiB of entries.
 RelayUpdate readCompactUpdate(std::string_view body, RegistryDecoder const& decode);
 
-/// The nodes that a relay has seen; see NodeCounter.
-struct NodeReport {
-    /// Name of the relay.
-    std::string relay;
-    std::vector<uint32_t> nodes;
-};
-/// JSON body {"relay", "nodes": [hash]}.
+/// JSON body {"relay", "nodes": [hash], "complete"}.
 std::string writeNodeReport(NodeReport const& report);
 /// Throws Error of kind InvalidInput when the body cannot be read.
 NodeReport readNodeReport(std::string_view body);
--- a/Libraries/GatewayNode/RelayServer.cpp
+++ b/Libraries/GatewayNode/RelayServer.cpp
@@ -140,8 +140,7 @@
 
 void RelayServer::handleNodeReport(HttpServerSession::Pointer const& session, HttpServerRequest const& request)
 {
-    auto report = readNodeReport(request.body);
-    this->nodeCounter.onReport(report.relay, std::move(report.nodes), Clock::now());
+    this->nodeCounter.onReport(readNodeReport(request.body), Clock::now());
     HTTPResponse head(HTTPResponse::HTTP_OK);
     session->respond(head, "");
 }
--- a/Tests/Fuzz/FuzzInputs.cpp
+++ b/Tests/Fuzz/FuzzInputs.cpp
@@ -80,7 +80,9 @@
         R"({"observations":[],"limits":[[17,25.5,3],[18,null,0]]})",
     };
 
-    std::vector<std::string> const nodeReportSamples { R"({"relay":"front-1","nodes":[17,4294967295]})" };
+    std::vector<std::string> const nodeReportSamples {
+        R"({"relay":"front-1","nodes":[17,4294967295],"complete":true})"
+    };
 
     std::vector<std::string> const gatewaySettingsSamples {
         R"({"name":"n","failureDomain":"d","callerListen":"127.0.0.1:1","readyListen":"127.0.0.1:2",)"
--- a/Tests/Gateway/TestNodeCounter.cpp
+++ b/Tests/Gateway/TestNodeCounter.cpp
@@ -30,14 +30,28 @@
 {
     see(counter, 300, 9000_ms);
     see(other, 470, 9000_ms);
-    counter.onReport("r2", other.seenHere(9000_ms), 9000_ms);
+    counter.onReport(other.report("r2", 9000_ms), 9000_ms);
     LONGS_EQUAL(470, counter.count(10000_ms).value());
-    counter.onReport("r3", { 1, 2, 3 }, 10000_ms);
+    counter.onReport({ "r3", { 1, 2, 3 } }, 10000_ms);
     LONGS_EQUAL(473, counter.count(10000_ms).value());
-    counter.onReport("r3", { 1 }, 10000_ms);
+    counter.onReport({ "r3", { 1 } }, 10000_ms);
     LONGS_EQUAL(471, counter.count(10000_ms).value());
 }
 
+// Guards against a number that is too small after a relay has restarted and has not seen its followers again.
+TEST(NodeCounter, IncompleteReportsRemoveNoNodes)
+{
+    see(counter, 1, 9000_ms);
+    see(other, 1, 5000_ms);
+    CHECK_FALSE(other.report("r2", 5000_ms).isComplete);
+    CHECK(other.report("r2", 6000_ms).isComplete);
+    counter.onReport({ "r2", { 1, 2, 3 } }, 8000_ms);
+    counter.onReport({ "r2", { 4 }, false }, 9000_ms);
+    LONGS_EQUAL(5, counter.count(9000_ms).value());
+    counter.onReport({ "r2", { 4 }, true }, 9500_ms);
+    LONGS_EQUAL(2, counter.count(9500_ms).value());
+}
+
 // Guards against nodes that are counted forever after their end.
 TEST(NodeCounter, NodesThatEndedAreRemoved)
 {
@@ -47,11 +61,21 @@
     LONGS_EQUAL(5, counter.count(15100_ms).value());
 }
 
+// Guards against a number that is too small in an outage of the registry, in which nodes do not follow the relays.
+TEST(NodeCounter, NodesThatDoNotFollowAnOutdatedRelayAreKept)
+{
+    see(counter, 7, 9000_ms);
+    see(counter, 2, 30000_ms);
+    counter.keepAbsent(30000_ms);
+    LONGS_EQUAL(7, counter.count(35900_ms).value());
+    LONGS_EQUAL(2, counter.count(36000_ms).value());
+}
+
 // Guards against a number that is too small while only the relays have lost contact with each other.
 TEST(NodeCounter, NodesOfASilentRelayAreKeptForAWhile)
 {
     see(counter, 2, 30000_ms);
-    counter.onReport("r2", { 1, 2, 3 }, 9000_ms);
+    counter.onReport({ "r2", { 1, 2, 3 } }, 9000_ms);
     LONGS_EQUAL(5, counter.count(30000_ms).value());
     see(counter, 2, 39000_ms);
     LONGS_EQUAL(2, counter.count(39100_ms).value());
@@ -61,6 +85,6 @@
 TEST(NodeCounter, ReportsAreBounded)
 {
     for (uint32_t relay = 0; relay < 1000; ++relay)
-        counter.onReport("r" + std::to_string(relay), { relay }, 9000_ms);
+        counter.onReport({ "r" + std::to_string(relay), { relay } }, 9000_ms);
     LONGS_EQUAL(16, counter.count(9000_ms).value());
 }
--- a/Tests/Gateway/TestRelayCodec.cpp
+++ b/Tests/Gateway/TestRelayCodec.cpp
@@ -60,11 +60,13 @@
 // Guards against nodes that are lost between relays, and against a report of another layout.
 TEST(RelayCodec, NodeReportKeepsItsNodes)
 {
-    auto const read = readNodeReport(writeNodeReport({ "n1", { 0, 7, 4294967295 } }));
+    auto const read = readNodeReport(writeNodeReport({ "n1", { 0, 7, 4294967295 }, false }));
     STRCMP_EQUAL("n1", read.relay.c_str());
     LONGS_EQUAL(3, read.nodes.size());
+    CHECK_FALSE(read.isComplete);
     CHECK(read.nodes.back() == 4294967295);
-    for (auto const* const odd : { "[]", "{}", R"({"relay":"a","nodes":[-1]})", R"({"relay":1,"nodes":[]})" })
+    for (auto const* const odd : { "[]", "{}", R"({"relay":"a","nodes":[-1],"complete":true})",
+             R"({"relay":1,"nodes":[],"complete":true})", R"({"relay":"a","nodes":[]})" })
         CHECK_THROWS(Error, readNodeReport(odd));
 }
 
