Move attempts, their records and parts out of GatewayRequest.cpp

RequestPart.h holds parts and attempts, AttemptRecorder what the end of an attempt shows of its target.

--- a/Libraries/Gateway/GatewayRequest.cpp
+++ b/Libraries/Gateway/GatewayRequest.cpp
@@ -1,5 +1,6 @@
 #include "Gateway/GatewayRequest.h"
 
+#include "Gateway/AttemptRecorder.h"
 #include "Gateway/RecordMerger.h"
 #include "Gateway/ShardOutlook.h"
 #include "Gateway/TargetNoticeRecorder.h"
@@ -24,12 +25,6 @@
 /// without healthy targets.
 constexpr uint32_t maximumAttemptsPerPart = 5;
 
-size_t GatewayRequest::Part::runningAttempts() const
-{
-    return static_cast<size_t>(std::count_if(
-        this->attempts.begin(), this->attempts.end(), [](Attempt const& attempt) { return attempt.running; }));
-}
-
 std::shared_ptr<GatewayRequest> GatewayRequest::create(GatewayContext& context, std::shared_ptr<RouteTable const> table,
     Route const& route, std::vector<std::string> services, ProxiedRequest&& request, Answered sendAnswer)
 {
@@ -206,7 +201,7 @@
               auto& attempt = self->parts[partIndex].attempts[attemptIndex];
               attempt.sent = true;
               attempt.hasPermit = attempt.hasPermit || attempt.target->takePermit(self->now());
-              self->countLimited(attempt, reason);
+              countSent(self->context, attempt, reason);
               self->setRemainingTime(head);
           };
     message.onResponseHead = [self = this->shared_from_this(), target, now](HTTPResponse const& head) {
@@ -230,72 +225,6 @@
     return true;
 }
 
-void GatewayRequest::countLimited(Attempt const& attempt, AttemptReason reason)
-{
-    auto* const limit = attempt.target->rateLimit();
-    if (!limit)
-        return;
-    TargetRateLimit::Sent const sent {
-        .all = 1,
-        .hedges = reason == AttemptReason::Hedge,
-        .retries = reason == AttemptReason::Retry,
-        .chosenBefore = attempt.sentAt < limit->statedAt(),
-    };
-    limit->addSent(sent);
-    this->context.metrics.count("limited_attempts");
-    if (sent.hedges)
-        this->context.metrics.count("limited_hedges");
-    if (sent.retries)
-        this->context.metrics.count("limited_retries");
-    if (sent.chosenBefore)
-        this->context.metrics.count("limited_attempts_chosen_before");
-}
-
-void GatewayRequest::recordOutcome(Attempt& attempt, AttemptOutcome outcome, AttemptReply const& reply)
-{
-    using Result = GatewayTarget::Result;
-    auto const now = this->now();
-    auto result = Result::Failed;
-    bool const mayBlock = this->context.mechanisms.isEnabled(Mechanism::Blocking);
-    if (outcome == AttemptOutcome::Success)
-        result = Result::Succeeded;
-    else if (mayBlock && reply.transport == AttemptReply::Transport::Rejected)
-        result = Result::Full;
-    else if (reply.transport == AttemptReply::Transport::Withdrawn)
-        result = Result::Abandoned;
-    else if (mayBlock && outcome == AttemptOutcome::NotSent)
-        result = Result::Unreachable;
-    else if (outcome == AttemptOutcome::NotRun)
-        result = attempt.target->isWaiting(now) ? Result::TurnedAway : Result::NotRun;
-    this->endAttempt(attempt, result, this->context.latencies.typical(this->route, now));
-    if (outcome == AttemptOutcome::Success)
-        this->context.latencies.add(this->route, now - attempt.sentAt, now);
-    if (outcome == AttemptOutcome::WrongTarget) {
-        attempt.target->onReplaced();
-        if (this->context.hooks.withdrawUnsent)
-            this->context.hooks.withdrawUnsent(attempt.target->registration().address);
-    }
-    if (reply.transport == AttemptReply::Transport::TimedOut)
-        this->context.hooks.closeIdle(attempt.target->registration().address);
-    if (reply.transport == AttemptReply::Transport::Answered) {
-        auto const load = readLoad(reply.head, this->context.headers);
-        bool const sharing = this->context.mechanisms.isEnabled(Mechanism::SharedObservations);
-        if (load && attempt.target->onLoadReport(*load, now) && sharing && !attempt.target->isLeaving())
-            this->context.outbox.add({ attempt.target->registration().id, *load->slowdown, {} });
-    }
-    if (outcome == AttemptOutcome::Success)
-        return;
-    this->context.metrics.count("attempt_" + Poco::replace(std::string(toString(outcome)), "-", "_"));
-    bool const answered = reply.transport == AttemptReply::Transport::Answered;
-    this->context.log.line("attempt-ended",
-        { { "request", this->requestId }, { "target", attempt.target->registration().id },
-            { "service", attempt.target->registration().service }, { "outcome", std::string(toString(outcome)) },
-            { answered ? "status" : "transport",
-                answered ? std::to_string(static_cast<int>(reply.head.getStatus()))
-                         : std::string(toString(reply.transport)) },
-            { "why", reply.fault }, { "after_ms", Poco::NumberFormatter::format((now - attempt.sentAt).value, 1) } });
-}
-
 void GatewayRequest::onReply(size_t partIndex, size_t attemptIndex, AttemptReply&& reply)
 {
     auto& part = this->parts[partIndex];
@@ -305,7 +234,7 @@
     attempt.running = false;
     attempt.cancel = nullptr;
     auto const outcome = outcomeOf(reply, this->context.headers);
-    this->recordOutcome(attempt, outcome, reply);
+    recordOutcome({ this->context, this->route, this->requestId }, attempt, outcome, reply);
     bool const mayHaveRun = outcome == AttemptOutcome::Success || outcome == AttemptOutcome::TargetFailed
         || outcome == AttemptOutcome::Unknown;
     if (mayHaveRun)
@@ -616,17 +545,10 @@
         callback(std::move(answer));
 }
 
-void GatewayRequest::endAttempt(Attempt& attempt, GatewayTarget::Result result, std::optional<Milliseconds> typical)
-{
-    attempt.target->onEnded(result, attempt.sentAt, typical, this->now());
-    if (attempt.hasPermit && !attempt.sent)
-        attempt.target->returnPermit();
-}
-
 void GatewayRequest::cancelAttempt(Attempt& attempt, GatewayTarget::Result result)
 {
     attempt.running = false;
-    this->endAttempt(attempt, result, std::nullopt);
+    endAttempt(attempt, result, std::nullopt, this->now());
     if (auto const cancel = std::exchange(attempt.cancel, nullptr))
         cancel();
 }
--- a/Libraries/Gateway/GatewayRequest.h
+++ b/Libraries/Gateway/GatewayRequest.h
@@ -2,6 +2,7 @@
 
 #include "Gateway/AttemptOutcome.h"
 #include "Gateway/GatewayContext.h"
+#include "Gateway/RequestPart.h"
 #include "Gateway/RouteTable.h"
 
 #include <cstdint>
@@ -36,54 +37,8 @@
     void stop();
 
 private:
-    struct Attempt {
-        TargetDirectory::TargetPointer target;
-        Milliseconds sentAt;
-        Canceller cancel;
-        bool running { true };
-        /// Whether a connection, which may still have to be established, is assigned to the attempt.
-        bool onConnection { false };
-        /// Whether the request was written to a connection.
-        bool sent { false };
-        /// Whether it has a permit under the target's rate limit.
-        bool hasPermit { false };
-    };
-    struct Part {
-        enum class State {
-            /// An attempt may still succeed.
-            Waiting,
-            /// A target's success has arrived.
-            Succeeded,
-            /// The part has failed and will be missing from the answer.
-            Missing,
-            /// The part has not been sent; it is missing from the answer unless other parts fail.
-            Omitted,
-        };
-        std::string service;
-        State state { State::Waiting };
-        std::vector<Attempt> attempts;
-        /// Ended attempts that ran or may have run.
-        uint32_t runs { 0 };
-        /// Attempts that sent, or may still send, bytes to a target, whether or not it ran the request.
-        uint32_t sentAttempts { 0 };
-        /// Time at which the part is hedged; empty while no hedge is planned.
-        std::optional<Milliseconds> hedgeAt;
-        /// Signature and greatest records of the successful answer to a part of a scattered request.
-        std::string signature;
-        std::string body;
-        /// Answer of the target of a forwarded request: its success, or the failure that is forwarded when no other
-        /// attempt succeeds.
-        std::optional<AttemptReply> reply;
-        /// When a target may be available again, for a part that found none; empty when that is not known.
-        std::optional<Milliseconds> retryAt;
-
-        size_t runningAttempts() const;
-    };
-    enum class AttemptReason {
-        First,
-        Retry,
-        Hedge,
-    };
+    using Attempt = RequestAttempt;
+    using Part = RequestPart;
 
     GatewayRequest(GatewayContext& context, std::shared_ptr<RouteTable const> table, Route const& route,
         ProxiedRequest&& request, Answered sendAnswer);
@@ -101,9 +56,6 @@
     void setRemainingTime(Poco::Net::HTTPRequest& head) const;
     Poco::Net::HTTPRequest createHead(GatewayTarget const& target) const;
     void onReply(size_t partIndex, size_t attemptIndex, AttemptReply&& reply);
-    /// Counts a request that is sent to a target with a rate limit, and what it was sent for.
-    void countLimited(Attempt const& attempt, AttemptReason reason);
-    void recordOutcome(Attempt& attempt, AttemptOutcome outcome, AttemptReply const& reply);
     void onSuccess(size_t partIndex, AttemptReply&& reply);
     void onFailure(size_t partIndex, AttemptOutcome outcome, AttemptReply&& reply);
     bool mayRetry(Part const& part, AttemptOutcome outcome) const;
@@ -142,8 +94,6 @@
     /// Cancels all attempts of which nothing was sent.
     void cancelUnsentAttempts();
     void cancelAttempt(Attempt& attempt, GatewayTarget::Result result);
-    /// Records the end of an attempt at its target.
-    void endAttempt(Attempt& attempt, GatewayTarget::Result result, std::optional<Milliseconds> typical);
 
     GatewayContext& context;
     std::shared_ptr<RouteTable const> table;
