Test a follower with odd answers of its relay

Odd entries (nested to 100,000, 400 digits, a port out of range, no text) and odd numbers of nodes, rate limits and observations in each answer of a relay: the follower goes on, serves, and takes the next configuration in time.

--- a/Tests/Integration/test_gateway.py
+++ b/Tests/Integration/test_gateway.py
@@ -1,5 +1,6 @@
 """Tests of the gateway as a real process, with stand-ins for the callers, the targets and the platform's store."""
 
+import base64
 import http.client
 import json
 import signal
@@ -412,6 +413,41 @@
         self.assertEqual(call(follower.caller_port, "/first/1", "r1").status, 200)
         self.assertIn("event=registry-copied", follower.log())
 
+    # Guards against a follower that ends, stops following or refuses all entries because of odd ones among them, or of odd
+    # rate limits and numbers of nodes.
+    def test_follower_survives_odd_answers_of_a_relay(self):
+        store = self.store
+        odd_values = [b"[" * 100000, b'{"service":' * 5000, b'{"seq":' + b"9" * 400 + b"}", b"\xff\xfe", b"",
+                      json.dumps({"service": "single", "addr": "127.0.0.1:99999", "zone": "wien-a", "version": "v1",
+                                  "slots": 8, "state": "ready", "warmup_left_ms": 0, "seq": 1, "born": 1}).encode()]
+        odd_fields = [{}, {"nodes": -1}, {"nodes": 0}, {"limits": [[17, 1e300, 0], [18, None, 0]]},
+                      {"limits": [[17, -5, 0]]}, {"limits": "many"}, {"observations": [[1]]}]
+        requests = []
+
+        class OddRelay(Handler):
+            """Answers every request with all entries, odd ones among them, and odd fields."""
+
+            def do_GET(self):  # pylint: disable=invalid-name
+                """Handles one request."""
+                odd = [{"key": f"servers/odd-{number}", "value": base64.b64encode(value).decode(),
+                        "revision": store.revision, "created_rev": 1, "lease": 0}
+                       for number, value in enumerate(odd_values)]
+                requests.append(self.path)
+                store.answer_json(self, {"revision": store.revision, "ageMs": 0, "failureDomain": "wien-a",
+                                         "followers": 1, "lastObservation": 0,
+                                         "entries": [json.dumps(item) for item in [*odd, *store.items.values()]],
+                                         **odd_fields[len(requests) % len(odd_fields)]})
+
+        relay = QuietServer(OddRelay)
+        self.addCleanup(relay.stop)
+        follower = self.create_node("follower", store.address, f"127.0.0.1:{free_port()}",
+                                    f"127.0.0.1:{relay.server_port}").start()
+        wait_until(lambda: len(requests) > 2 * len(odd_fields), 20)
+        self.assertIsNone(follower.process.poll())
+        self.assertEqual(call(follower.caller_port, "/first/1", "r1").status, 200)
+        self.configure(9, "/second/")
+        wait_until(lambda: call(follower.caller_port, "/second/1", "r2").status == 200, CONFIGURATION_BOUND_S)
+
     # Guards against a slow target that each node must detect by its own requests.
     def test_nodes_share_what_they_learn_of_targets(self):
         slow = Target(self.store, "slow", "shared", "wien-a")
