Log that changed settings need a restart when a reload does not apply them

The line said "applied" for every setting but the listen addresses, though a reload applies three. It now compares the settings in force with those of the file. connectionSharers also reaches the number of nodes that is assumed until the relays have counted them. test_reload_keeps_serving changes memoryMb and failed before.

--- a/Libraries/Gateway/ExtraAttemptBudget.h
+++ b/Libraries/Gateway/ExtraAttemptBudget.h
@@ -22,6 +22,8 @@
         /// count of extra attempts, so the shared allowance must cover two lifetimes of every node.
         double allowance { 1 };
         Milliseconds window { 10000 };
+
+        bool operator==(Limits const&) const = default;
     };
     enum class Use {
         /// Follows a failed attempt.
--- a/Libraries/Gateway/Mechanisms.h
+++ b/Libraries/Gateway/Mechanisms.h
@@ -56,6 +56,7 @@
 class Mechanisms {
 public:
     void disable(Mechanism mechanism) { this->disabled.set(static_cast<size_t>(mechanism)); }
+    bool operator==(Mechanisms const&) const = default;
     bool isEnabled(Mechanism mechanism) const { return !this->disabled.test(static_cast<size_t>(mechanism)); }
 
 private:
--- a/Libraries/Gateway/RegistrySync.cpp
+++ b/Libraries/Gateway/RegistrySync.cpp
@@ -82,6 +82,12 @@
             { "source", this->countedNodes ? "relays" : "estimate" } });
 }
 
+void RegistrySync::setAssumedNodes(uint32_t count)
+{
+    this->assumedNodes = count;
+    this->updateNodes({});
+}
+
 void RegistrySync::start()
 {
     this->updateNodes({});
--- a/Libraries/Gateway/RegistrySync.h
+++ b/Libraries/Gateway/RegistrySync.h
@@ -63,6 +63,8 @@
     /// Sets the number of nodes that share the rate limits of targets: the counted one, or while none was counted the
     /// greater of the estimate and the assumed one.
     void updateNodes(std::optional<uint32_t> counted);
+    /// Replaces Topology::assumedNodes.
+    void setAssumedNodes(uint32_t count);
     void setFollowers(uint32_t count) { this->followers = count; }
     /// Applies other nodes' observations to the targets.
     void applyObservations(std::span<TargetObservation const> observations);
--- a/Libraries/GatewayNode/GatewayServer.cpp
+++ b/Libraries/GatewayNode/GatewayServer.cpp
@@ -433,13 +433,13 @@
 {
     try {
         auto const next = this->hooks.readSettings();
-        bool const rebind
-            = next.callerListen != this->settings.callerListen || next.readyListen != this->settings.readyListen;
         this->settings.stopTime = next.stopTime;
         this->settings.balancerLag = next.balancerLag;
         this->settings.connectionSharers = next.connectionSharers;
+        this->registry.setAssumedNodes(next.connectionSharers);
+        bool const isComplete = this->settings == next;
         this->gateway.sharedContext().log.line("reload",
-            { { "outcome", rebind ? "applied; listen addresses need a restart" : "applied" } },
+            { { "outcome", isComplete ? "applied" : "applied; other changed settings need a restart" } },
             DecisionLog::Delivery::Always);
     } catch (Error const& error) {
         this->gateway.sharedContext().log.line("reload",
--- a/Libraries/GatewayNode/GatewaySettings.h
+++ b/Libraries/GatewayNode/GatewaySettings.h
@@ -39,6 +39,8 @@
     size_t answerBodyLimit { 4194304 };
     /// For experiments only.
     Mechanisms mechanisms;
+
+    bool operator==(GatewaySettings const&) const = default;
 };
 
 /// Reads JSON with comments. Throws SettingsError with file, line, key and remedy.
--- a/Tests/Integration/test_gateway.py
+++ b/Tests/Integration/test_gateway.py
@@ -253,10 +253,15 @@
         self.assertEqual(self.gateway.process.wait(5), 0)
         self.assertIn("event=stopped running=0", self.gateway.log())
 
-    # Guards against a reload that ends the process or applies invalid settings.
+    # Guards against a reload that ends the process, applies invalid settings, or reports settings as applied that need a
+    # restart.
     def test_reload_keeps_serving(self):
         self.gateway.send_signal(signal.SIGHUP)
-        wait_until(lambda: "event=reload outcome=applied" in self.gateway.log(), 1)
+        wait_until(lambda: "event=reload outcome=applied\n" in self.gateway.log(), 1)
+        changed = {**self.gateway.settings, "balancerLagMs": 400, "memoryMb": 200}
+        self.gateway.settings_file.write_text(json.dumps(changed), encoding="utf-8")
+        self.gateway.send_signal(signal.SIGHUP)
+        wait_until(lambda: 'outcome="applied; other changed settings need a restart"' in self.gateway.log(), 1)
         self.gateway.settings_file.write_text("{ nonsense", encoding="utf-8")
         self.gateway.send_signal(signal.SIGHUP)
         wait_until(lambda: "kept the old settings" in self.gateway.log(), 1)
