Name the relay whose copy is used in registry-copied

When every relay had an outdated copy, the line named the relay that was asked last instead of the one whose copy was installed. StaleCopyIsUsedWhenThereIsNoOther checks the name and failed before.

--- a/Libraries/Gateway/RegistrySync.cpp
+++ b/Libraries/Gateway/RegistrySync.cpp
@@ -213,26 +213,28 @@
     bool const older = this->loaded && update.revision < this->revision;
     if (update.status == RegistryStatus::Ok && update.age <= maximumStaleness && !older) {
         this->confirmed = true;
-        this->installCopy(relay, std::move(update));
+        this->installCopy(relay.address, std::move(update));
         return;
     }
     relay.blockedUntil = this->now() + relayBlockTime;
     // A relay that has lost the registry for long may name removed targets, so the other relays are tried first.
     bool const youngest = !this->staleCopy || update.age < this->staleCopy->age;
-    if (update.status == RegistryStatus::Ok && !this->loaded && youngest)
+    if (update.status == RegistryStatus::Ok && !this->loaded && youngest) {
         this->staleCopy = std::move(update);
+        this->staleCopySource = relay.address;
+    }
     if (this->chooseRelay())
         this->copyFromRelay();
     else if (this->staleCopy)
-        this->installCopy(relay, std::move(*std::exchange(this->staleCopy, std::nullopt)));
+        this->installCopy(this->staleCopySource, std::move(*std::exchange(this->staleCopy, std::nullopt)));
     else
         this->retryLater(&RegistrySync::listLatest);
 }
 
-void RegistrySync::installCopy(Relay const& relay, RelayUpdate&& update)
+void RegistrySync::installCopy(std::string const& source, RelayUpdate&& update)
 {
     this->context.log.line("registry-copied",
-        { { "relay", relay.address }, { "revision", std::to_string(update.revision) },
+        { { "relay", source }, { "revision", std::to_string(update.revision) },
             { "age_ms", std::to_string(static_cast<int64_t>(update.age.value)) } });
     this->lastContactAt = this->now() - update.age;
     this->applySnapshot(std::move(update.events), update.revision);
--- a/Libraries/Gateway/RegistrySync.h
+++ b/Libraries/Gateway/RegistrySync.h
@@ -97,7 +97,7 @@
     Relay* chooseRelay();
     void onListed(Freshness freshness, RegistryReply&& reply);
     void onCopied(Relay& relay, RelayUpdate&& update);
-    void installCopy(Relay const& relay, RelayUpdate&& update);
+    void installCopy(std::string const& source, RelayUpdate&& update);
     void onWatched(RegistryReply&& reply);
     void onFollowed(Relay& relay, RelayUpdate&& update);
     void applySnapshot(std::vector<RegistryEvent>&& events, uint64_t revision);
@@ -130,6 +130,8 @@
     bool confirmed { false };
     /// The most recent copy among those that were too old to be used at once, kept while other relays are queried.
     std::optional<RelayUpdate> staleCopy;
+    /// Address of the relay that sent it.
+    std::string staleCopySource;
     bool connected { false };
     uint32_t failures { 0 };
     /// Time as of which this node, or the relay that it copied, last received an answer of the registry itself.
--- a/Tests/Gateway/TestRegistrySync.cpp
+++ b/Tests/Gateway/TestRegistrySync.cpp
@@ -17,6 +17,14 @@
     RegistrySync relay { fixture.gateway, { { "relay-1", "relay-2" }, "relay-1" }, hooks() };
     RegistrySync follower { fixture.gateway, { { "relay-1", "relay-2" } }, hooks() };
 
+    /// Last log line of the event.
+    std::string lineOf(std::string const& event)
+    {
+        auto const found = std::find_if(fixture.lines.rbegin(), fixture.lines.rend(),
+            [&event](std::string const& line) { return line.starts_with("event=" + event + " "); });
+        return found == fixture.lines.rend() ? "" : *found;
+    }
+
     RegistrySync::Hooks hooks()
     {
         RegistrySync::Hooks result;
@@ -432,6 +440,7 @@
     copies.at(0)(update(5, { target("t1"), configuration(3) }, 60000_ms));
     copies.at(1)(update(4, { configuration(2) }, 90000_ms));
     LONGS_EQUAL(3, fixture.gateway.version());
+    STRCMP_CONTAINS("relay=relay-1 revision=5", lineOf("registry-copied").c_str());
     CHECK_FALSE(follower.isReady());
     fixture.advance(1100_ms);
     CHECK(follower.isReady());
