--- a/Libraries/Gateway/RequestPart.h
+++ b/Libraries/Gateway/RequestPart.h
@@ -20,6 +20,7 @@
 /// One request to one target, for a part of a caller's request.
 struct RequestAttempt {
     TargetDirectory::TargetPointer target;
+    /// Time at which the target was chosen.
     Milliseconds sentAt;
     Canceller cancel;
     bool running { true };
--- a/Libraries/Gateway/ShardOutlook.h
+++ b/Libraries/Gateway/ShardOutlook.h
@@ -24,7 +24,9 @@
 bool isUsable(GatewayTarget const& target, Milliseconds now);
 /// Whether a draining target may still receive requests that no other target can take.
 bool isLastResort(GatewayTarget const& target, Milliseconds now);
+/// How a request was assigned to the target that is to receive it.
 struct Assignment {
+    /// Whether the target drains and no other one could take the request.
     bool asLastResort { false };
     /// Whether a permit under the target's rate limit was taken for the request.
     bool hasPermit { false };
--- a/Libraries/Gateway/TargetDirectory.h
+++ b/Libraries/Gateway/TargetDirectory.h
@@ -31,11 +31,13 @@
         std::function<void(std::string const& address)> withdrawn {};
     };
 
+    /// What a target says of its rate limit in an answer to this node or another one.
     struct RateLimitStatement {
         /// 0 or more; noRateLimit in onSharedRateLimit() when the target states none any more.
         double requestsPerSecond { 0 };
         /// Random number in [0, 1); see TargetRateLimit.
         double phase { 0 };
+        /// Time of the answer.
         Milliseconds at;
     };
 
--- a/Libraries/GatewayNode/RelayServer.h
+++ b/Libraries/GatewayNode/RelayServer.h
@@ -46,6 +46,7 @@
 
     /// Adds observations to the feed and schedules their sending to the followers.
     void publish(std::span<TargetObservation const> observations);
+    /// The nodes that follow this relay, and those that other relays have reported.
     NodeCounter& nodes() { return this->nodeCounter; }
 
 private:
