Keep the counted nodes after a pause of a relay

A relay that was paused for longer than the lifetime of its entries counted itself alone until its followers and the other relays were heard again, and could tell nodes a number that is too small for shared limits. A gap in the counting, which runs each second, now keeps all entries until they have had time to come back.

--- a/Libraries/Gateway/NodeCounter.cpp
+++ b/Libraries/Gateway/NodeCounter.cpp
@@ -9,11 +9,14 @@
 /// The nodes of a relay that no longer reports are counted for longer: they may still run where only the relays have
 /// lost contact with each other.
 constexpr Milliseconds reportLifetime { 30000 };
+/// A relay counts each second. After a longer gap it was paused, and has not heard nodes that may still run.
+constexpr Milliseconds maximumCountGap { 3000 };
 /// Bounds the memory; a deployment has a few relays.
 constexpr size_t maximumReports = 16;
 
 NodeCounter::NodeCounter(Milliseconds startedAt)
     : startedAt(startedAt)
+    , lastCount(startedAt)
 {
 }
 
@@ -39,6 +42,12 @@
 
 void NodeCounter::removeAbsent(Milliseconds now)
 {
+    if (now - this->lastCount > maximumCountGap) {
+        this->keepAbsent(now);
+        for (auto& [relay, received] : this->reports)
+            received.at = now;
+    }
+    this->lastCount = now;
     std::erase_if(this->reports, [now](auto const& entry) { return now - entry.second.at > reportLifetime; });
     if (now >= this->keptUntil)
         std::erase_if(this->lastSeen, [now](auto const& entry) { return now - entry.second > nodeLifetime; });
--- a/Libraries/Gateway/NodeCounter.h
+++ b/Libraries/Gateway/NodeCounter.h
@@ -23,7 +23,8 @@
 };
 
 /// Counts the nodes of a deployment on a relay: those that follow this relay, and those that the other relays report to
-/// follow them. A node that follows several relays counts once.
+/// follow them. A node that follows several relays counts once. The number is rather too great than too small, because
+/// nodes divide shared limits by it; it must be counted each second.
 class NodeCounter {
 public:
     /// The number of nodes is known from some seconds after `startedAt` on, when all have had time to come.
@@ -54,6 +55,7 @@
     void removeAbsent(Milliseconds now);
 
     Milliseconds startedAt;
+    Milliseconds lastCount;
     /// No node that was seen here is removed before this time.
     Milliseconds keptUntil;
     std::map<uint32_t, Milliseconds> lastSeen;
--- a/Tests/Gateway/TestNodeCounter.cpp
+++ b/Tests/Gateway/TestNodeCounter.cpp
@@ -9,6 +9,14 @@
     NodeCounter counter { 0_ms };
     NodeCounter other { 0_ms };
 
+    /// Counts once a second, as a relay does; returns the number at the end.
+    uint32_t countUntil(Milliseconds from, Milliseconds end)
+    {
+        for (auto now = from; now < end; now += 1000_ms)
+            counter.count(now);
+        return counter.count(end).value();
+    }
+
     /// The nodes "n0" to "nCOUNT-1" ask the relay.
     static void see(NodeCounter & relay, size_t count, Milliseconds now)
     {
@@ -57,7 +65,7 @@
 {
     see(counter, 7, 9000_ms);
     see(counter, 5, 14000_ms);
-    LONGS_EQUAL(7, counter.count(14900_ms).value());
+    LONGS_EQUAL(7, countUntil(9000_ms, 14900_ms));
     LONGS_EQUAL(5, counter.count(15100_ms).value());
 }
 
@@ -65,22 +73,36 @@
 TEST(NodeCounter, NodesThatDoNotFollowAnOutdatedRelayAreKept)
 {
     see(counter, 7, 9000_ms);
-    see(counter, 2, 30000_ms);
-    counter.keepAbsent(30000_ms);
-    LONGS_EQUAL(7, counter.count(35900_ms).value());
-    LONGS_EQUAL(2, counter.count(36000_ms).value());
+    LONGS_EQUAL(7, countUntil(9000_ms, 15000_ms));
+    see(counter, 2, 15000_ms);
+    counter.keepAbsent(15000_ms);
+    LONGS_EQUAL(7, countUntil(15000_ms, 20900_ms));
+    LONGS_EQUAL(2, counter.count(21000_ms).value());
 }
 
 // Guards against a number that is too small while only the relays have lost contact with each other.
 TEST(NodeCounter, NodesOfASilentRelayAreKeptForAWhile)
 {
-    see(counter, 2, 30000_ms);
     counter.onReport({ "r2", { 1, 2, 3 } }, 9000_ms);
+    countUntil(9000_ms, 30000_ms);
+    see(counter, 2, 30000_ms);
     LONGS_EQUAL(5, counter.count(30000_ms).value());
+    countUntil(30000_ms, 39000_ms);
     see(counter, 2, 39000_ms);
     LONGS_EQUAL(2, counter.count(39100_ms).value());
 }
 
+// Guards against a number that is too small after the relay was paused and heard nobody.
+TEST(NodeCounter, NodesAreKeptAfterAPauseOfTheRelay)
+{
+    see(counter, 4, 9000_ms);
+    counter.onReport({ "r2", { 1, 2, 3 } }, 9000_ms);
+    LONGS_EQUAL(7, countUntil(9000_ms, 10000_ms));
+    LONGS_EQUAL(7, counter.count(60000_ms).value());
+    see(counter, 2, 65000_ms);
+    LONGS_EQUAL(5, countUntil(61000_ms, 66100_ms));
+}
+
 // Guards against memory that grows with reports under ever new names.
 TEST(NodeCounter, ReportsAreBounded)
 {
