--- a/Libraries/Gateway/GatewayTarget.h
+++ b/Libraries/Gateway/GatewayTarget.h
@@ -78,11 +78,11 @@
     /// The target wants no requests from this node before `end`; it receives the next one at `returnAt`, which is not
     /// earlier. Has no effect when an earlier statement lasts longer.
     void waitUntil(Milliseconds end, Milliseconds returnAt);
+    /// Replaces the rate limit; empty when the target states none.
     void setRateLimit(std::optional<TargetRateLimit> const& stated) { this->limit = stated; }
     /// Called when this node learns at which rate limit, or without one, the target was at the given time.
     void onRateLimitKnown(Milliseconds at) { this->limitKnownAt = std::max(this->limitKnownAt, at); }
-    /// Latest time as of which this node knows the rate limit or that there is none; 0 without an answer that showed
-    /// it.
+    /// Latest time passed to onRateLimitKnown(); 0 before the first.
     Milliseconds rateLimitKnownAt() const { return this->limitKnownAt; }
     /// Null when the target states none.
     TargetRateLimit const* rateLimit() const { return this->limit ? &*this->limit : nullptr; }
--- a/Tests/Fuzz/FuzzInputs.cpp
+++ b/Tests/Fuzz/FuzzInputs.cpp
@@ -77,6 +77,7 @@
 
     std::vector<std::string> const reportSamples {
         R"({"observations":[["i-1",712,35],["i-2",80,0]]})",
+        R"({"observations":[]})",
         R"({"observations":[],"limits":[[17,25.5,3],[18,null,0]]})",
     };
 
