--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -324,12 +324,17 @@
         self.settings_file = pathlib.Path(folder) / f"{name}.conf"
         self.log_file = pathlib.Path(folder) / f"{name}.log"
 
-    def start(self, bootstrap):
-        """Starts the command of the deploy file with the settings of its template."""
+    def write_settings(self, bootstrap):
+        """Writes the settings file from the template of the deploy file; returns the role."""
         role = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())["roles"]["gateway"]
         self.fields["bootstrap"] = bootstrap or None
         template = (ROOT / role["template"]).read_text()
         self.settings_file.write_text(render(template, self.fields))
+        return role
+
+    def start(self, bootstrap):
+        """Starts the command of the deploy file with the settings of its template."""
+        role = self.write_settings(bootstrap)
         environment = {"PATH": os.environ.get("PATH", ""), "HOME": "/tmp", "LANG": "C",
                        "TOUCANGAUGE_SETTINGS": str(self.settings_file)}
         with open(self.log_file, "ab") as log:
