--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -251,6 +251,9 @@
     async def serve(self, reader, writer, start, header, body):
         method, path, _ = start.split(" ")
         request = header.get("request-id", "-")
+        if path == "/health":
+            write_answer(writer, 200, [("Instance-Id", self.id), ("Backend-Load", f"{self.running},0,{self.slots}")])
+            return
         if header.get("expect-instance", self.id) != self.id:
             write_answer(writer, 421, [("Not-Executed", "1"), ("Request-Id", request)])
             return
