--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -338,7 +338,7 @@
     def start(self, bootstrap):
         """Starts the command of the deploy file with the settings of its template."""
         role = self.write_settings(bootstrap)
-        environment = {"PATH": os.environ.get("PATH", ""), "HOME": "/tmp", "LANG": "C",
+        environment = {"PATH": os.environ.get("PATH", ""), "HOME": os.environ.get("HOME", "/"), "LANG": "C",
                        "TOUCANGAUGE_SETTINGS": str(self.settings_file)}
         with open(self.log_file, "ab") as log:
             self.process = subprocess.Popen(role["run"].split(), cwd=ROOT, env=environment, stdout=log, stderr=log)
