--- a/Libraries/Gateway/RegistryEvent.h
+++ b/Libraries/Gateway/RegistryEvent.h
@@ -3,6 +3,7 @@
 #include "Gateway/RegistryPosition.h"
 #include "Gateway/RoutingConfiguration.h"
 #include "Gateway/TargetRegistration.h"
+#include "Succession/RelayRoster.h"
 
 #include <cstdint>
 #include <functional>
@@ -41,8 +42,13 @@
     std::optional<uint32_t> nodes;
     std::string fault;
 };
+/// The relays of the fleet. Empty when the entry was removed or cannot be read; `fault` says why.
+struct RosterPut {
+    std::optional<RelayRoster> roster;
+    std::string fault;
+};
 using RegistryChange = std::variant<TargetPut, TargetRemoved, ConfigurationPut, UnusableEntry, EvacuationPut,
-    EvacuationRemoved, NodeCountPut>;
+    EvacuationRemoved, NodeCountPut, RosterPut>;
 
 /// One entry, or its removal, as of a revision of the registry in the era of the list that holds it.
 struct RegistryEvent {
--- a/Libraries/Gateway/RegistryRelay.cpp
+++ b/Libraries/Gateway/RegistryRelay.cpp
@@ -62,6 +62,13 @@
         waiter();
 }
 
+void RegistryRelay::clear()
+{
+    this->entries.clear();
+    this->configurationKey.clear();
+    this->reset({}, {});
+}
+
 void RegistryRelay::append(std::span<RegistryEvent const> events, uint64_t revision)
 {
     bool changed = false;
--- a/Libraries/Gateway/RegistryRelay.h
+++ b/Libraries/Gateway/RegistryRelay.h
@@ -26,6 +26,9 @@
     /// Time since the end of the last outage of the registry; set only while it is recent.
     std::optional<Milliseconds> outageEnded;
     std::string failureDomain;
+    /// Age of the last answer of the registry to the sender, counted from the call and with the time for which the
+    /// sender was suspended; set only while the registry holds a roster of relays.
+    std::optional<Milliseconds> confirmedAge {};
     /// Number of nodes that follow the sender.
     uint32_t followers { 0 };
     /// Number of nodes of the deployment that the sender has counted; empty when it does not know it.
@@ -46,6 +49,8 @@
     /// Version of the configuration that the follower has in force, 0 before the first; empty when the relay's is not
     /// wanted. A restored registry may have given the follower an older one than the relay holds.
     std::optional<uint64_t> configuration {};
+    /// Address of the follower for other nodes; empty while the registry holds no roster of relays.
+    std::string address {};
 };
 
 /// The registry's entries and recent changes, held for nodes that follow this one instead of the registry.
@@ -53,6 +58,9 @@
 public:
     using Waiter = std::function<void()>;
 
+    /// Drops everything: this node is no relay any more.
+    void clear();
+    bool isEmpty() const { return this->last.revision == 0; }
     /// Replaces all entries after a complete read of the registry, except a configuration of a later version than the
     /// one that was read.
     void reset(std::span<RegistryEvent const> events, RegistryPosition position);
--- a/Libraries/Gateway/RegistrySync.cpp
+++ b/Libraries/Gateway/RegistrySync.cpp
@@ -39,6 +39,7 @@
 RegistrySync::RegistrySync(Gateway& gateway, Topology topology, Hooks hooks)
     : gateway(gateway)
     , context(gateway.sharedContext())
+    , ownAddress(std::move(topology.ownAddress))
     , isRelay(!topology.ownRelay.empty())
     , relayCount(topology.relays.size())
     , assumedNodes(topology.assumedNodes)
@@ -46,10 +47,39 @@
 {
     for (auto& address : topology.relays) {
         if (address != topology.ownRelay)
-            this->relays.push_back({ std::move(address), {}, {}, 0, 0, {} });
+            this->relays.push_back(std::make_shared<Relay>(Relay { std::move(address), {}, {}, 0, 0, {} }));
     }
 }
 
+void RegistrySync::setRelays(std::vector<std::string> const& addresses)
+{
+    auto const before = std::exchange(this->relays, {});
+    for (auto const& address : addresses) {
+        if (address == this->ownAddress)
+            continue;
+        auto const known = std::find_if(
+            before.begin(), before.end(), [&address](auto const& relay) { return relay->address == address; });
+        this->relays.push_back(
+            known == before.end() ? std::make_shared<Relay>(Relay { address, {}, {}, 0, 0, {} }) : *known);
+    }
+    this->relayCount = addresses.size();
+    bool const wasRelay = this->isRelay;
+    this->isRelay = std::find(addresses.begin(), addresses.end(), this->ownAddress) != addresses.end();
+    // The entries that a new relay forwards are read before its next watch.
+    if (wasRelay && !this->isRelay)
+        this->registryRelay.clear();
+}
+
+bool RegistrySync::followsRelay() const { return this->now() - this->followedAt <= maximumStaleness; }
+
+Milliseconds RegistrySync::bootTime() const { return this->hooks.bootTime ? this->hooks.bootTime() : this->now(); }
+
+void RegistrySync::onConfirmed(Milliseconds at)
+{
+    if (this->hooks.confirmed)
+        this->hooks.confirmed(at);
+}
+
 bool RegistrySync::isReady() const
 {
     return this->loaded && (this->confirmed || this->now() - this->loadedAt >= maximumConfirmationWait);
@@ -64,7 +94,7 @@
         return stored;
     auto largestCount = this->followers;
     for (auto const& relay : this->relays)
-        largestCount = std::max(largestCount, relay.followers);
+        largestCount = std::max(largestCount, relay->followers);
     return std::max(static_cast<uint32_t>(this->relayCount) * (largestCount + 1), stored);
 }
 
@@ -118,6 +148,29 @@
     this->updateNodes({});
 }
 
+void RegistrySync::applyRoster(RegistryEvent const& event, RosterPut const& put)
+{
+    if (!put.fault.empty())
+        this->logUnusable({ event.key, "", put.fault });
+    this->hasRoster = put.roster.has_value();
+    if (this->hooks.rosterRead)
+        this->hooks.rosterRead(put.roster, event.revision);
+}
+
+void RegistrySync::writeRoster(RelaySuccession::Write const& write)
+{
+    if (!this->hooks.writeRoster)
+        return;
+    this->context.metrics.count("relay_roster_writes");
+    this->hooks.writeRoster(write.expectedRevision, write.roster,
+        [this, term = write.roster.term, reason = std::string(write.reason)](std::string const& failure) {
+            this->context.log.line("relay-roster-written",
+                { { "term", std::to_string(term) }, { "reason", reason },
+                    { "outcome", failure.empty() ? "written" : "failed" }, { "why", failure } },
+                DecisionLog::Delivery::Always);
+        });
+}
+
 void RegistrySync::setAssumedNodes(uint32_t count)
 {
     this->assumedNodes = count;
@@ -134,24 +187,25 @@
 void RegistrySync::list(Freshness freshness)
 {
     this->context.metrics.count("registry_lists");
-    this->hooks.list(
-        freshness, [this, freshness](RegistryReply&& reply) { this->onListed(freshness, std::move(reply)); });
+    this->hooks.list(freshness, [this, freshness, at = this->bootTime()](RegistryReply&& reply) {
+        this->onListed(freshness, std::move(reply), at);
+    });
 }
 
-RegistrySync::Relay* RegistrySync::chooseRelay()
+std::shared_ptr<RegistrySync::Relay> RegistrySync::chooseRelay()
 {
     auto const now = this->now();
     auto const& own = this->gateway.failureDomain();
-    Relay* chosen = nullptr;
+    std::shared_ptr<Relay> chosen;
     double best = 0;
-    for (auto& relay : this->relays) {
-        if (relay.blockedUntil > now)
+    for (auto const& relay : this->relays) {
+        if (relay->blockedUntil > now)
             continue;
         // Traffic to a relay in this node's failure domain costs less, and the relay fails together with the node.
-        auto const preference = (relay.failureDomain == own ? 2 : 0) + (relay.failureDomain.empty() ? 1 : 0)
+        auto const preference = (relay->failureDomain == own ? 2 : 0) + (relay->failureDomain.empty() ? 1 : 0)
             + this->context.hooks.random();
         if (!chosen || preference > best) {
-            chosen = &relay;
+            chosen = relay;
             best = preference;
         }
     }
@@ -160,9 +214,13 @@
 
 void RegistrySync::waitForChanges()
 {
-    auto* const relay = this->isRelay ? nullptr : this->chooseRelay();
+    if (this->isRelay && this->registryRelay.isEmpty() && this->loaded) {
+        this->listLatest();
+        return;
+    }
+    auto const relay = this->isRelay ? nullptr : this->chooseRelay();
     if (relay)
-        this->follow(*relay);
+        this->follow(relay);
     else
         this->watch();
 }
@@ -171,18 +229,21 @@
 {
     this->context.metrics.count("registry_watches");
     auto const wait = this->isRelay || !this->relays.empty() ? relayWatchTime : watchTime;
-    this->hooks.watch(this->position, wait, [this](RegistryReply&& reply) { this->onWatched(std::move(reply)); });
+    this->hooks.watch(this->position, wait,
+        [this, at = this->bootTime()](RegistryReply&& reply) { this->onWatched(std::move(reply), at); });
 }
 
-void RegistrySync::follow(Relay& relay)
+void RegistrySync::follow(std::shared_ptr<Relay> const& relay)
 {
     // The first request only confirms the first read, so it does not wait for changes.
     auto const wait = this->confirmed
-        ? std::clamp(maximumStaleness - relay.staleness, minimumRelayWait, maximumRelayWait)
+        ? std::clamp(maximumStaleness - relay->staleness, minimumRelayWait, maximumRelayWait)
         : Milliseconds {};
-    this->lastFollowedRelay = relay.address;
-    this->hooks.follow(relay.address, this->requestTo(relay, wait),
-        [this, &relay](RelayUpdate&& update) { this->onFollowed(relay, std::move(update)); });
+    this->lastFollowedRelay = relay->address;
+    this->hooks.follow(
+        relay->address, this->requestTo(*relay, wait), [this, relay, at = this->bootTime()](RelayUpdate&& update) {
+            this->onFollowed(*relay, std::move(update), at);
+        });
 }
 
 RelayRequest RegistrySync::requestTo(Relay const& relay, Milliseconds wait) const
@@ -191,27 +252,29 @@
     // A registry that was never restored shows no older configuration.
     if (this->position.era > 0)
         request.configuration = this->gateway.version();
+    if (this->hasRoster)
+        request.address = this->ownAddress;
     return request;
 }
 
 void RegistrySync::pollRelay()
 {
-    auto* const relay = this->chooseRelay();
+    auto const relay = this->chooseRelay();
     if (!relay) {
-        this->retryLater(&RegistrySync::watch);
+        this->retryLater(&RegistrySync::waitForChanges);
         return;
     }
     this->hooks.follow(relay->address, this->requestTo(*relay, {}),
-        [this, relay](RelayUpdate&& update) { this->onPolled(*relay, std::move(update)); });
+        [this, relay, at = this->bootTime()](RelayUpdate&& update) { this->onPolled(relay, std::move(update), at); });
 }
 
-void RegistrySync::onPolled(Relay& relay, RelayUpdate&& update)
+void RegistrySync::onPolled(std::shared_ptr<Relay> const& relay, RelayUpdate&& update, Milliseconds askedAt)
 {
     if (update.status == RegistryStatus::Ok) {
         this->applyObservations(update.observations);
-        relay.followers = update.followers;
+        relay->followers = update.followers;
         this->updateNodes(update.nodes);
-        relay.lastObservation = update.lastObservation;
+        relay->lastObservation = update.lastObservation;
     }
     if (update.status == RegistryStatus::HistoryLost) {
         // The other relay has read all entries again, for example after the registry was restored.
@@ -219,36 +282,39 @@
         return;
     }
     if (this->isUsable(update)) {
-        relay.failureDomain = update.failureDomain;
-        relay.followers = update.followers;
+        relay->failureDomain = update.failureDomain;
+        relay->followers = update.followers;
         // The followers of this relay must not take its state for more recent than the other relay's.
         this->lastContactAt = std::max(this->lastContactAt, this->now() - update.age);
         this->applyChanges(std::move(update.events), update.position);
+        if (update.confirmedAge)
+            this->onConfirmed(askedAt - *update.confirmedAge);
     } else {
-        relay.blockedUntil = this->now() + relayBlockTime;
+        relay->blockedUntil = this->now() + relayBlockTime;
     }
-    this->retryLater(&RegistrySync::watch);
+    this->retryLater(&RegistrySync::waitForChanges);
 }
 
 void RegistrySync::copyFromRelay()
 {
-    auto* const relay = this->chooseRelay();
+    auto const relay = this->chooseRelay();
     if (!relay) {
         this->retryLater(&RegistrySync::listLatest);
         return;
     }
-    this->copyFrom(*relay);
+    this->copyFrom(relay);
 }
 
-void RegistrySync::copyFrom(Relay& relay)
+void RegistrySync::copyFrom(std::shared_ptr<Relay> const& relay)
 {
-    this->hooks.copy(relay.address, [this, &relay](RelayUpdate&& update) { this->onCopied(relay, std::move(update)); });
+    this->hooks.copy(
+        relay->address, [this, relay](RelayUpdate&& update) { this->onCopied(*relay, std::move(update)); });
 }
 
 void RegistrySync::requestNewerConfiguration()
 {
     for (auto const& relay : this->relays) {
-        this->hooks.copy(relay.address, [this](RelayUpdate&& update) {
+        this->hooks.copy(relay->address, [this](RelayUpdate&& update) {
             for (auto& event : update.events) {
                 if (!std::holds_alternative<ConfigurationPut>(event.change))
                     continue;
@@ -265,7 +331,7 @@
         && update.position.era == this->position.era && update.position >= this->position;
 }
 
-void RegistrySync::onListed(Freshness freshness, RegistryReply&& reply)
+void RegistrySync::onListed(Freshness freshness, RegistryReply&& reply, Milliseconds askedAt)
 {
     bool const isLate = reply.status == RegistryStatus::Ok && this->isOfEarlierEra(reply);
     if (reply.status != RegistryStatus::Ok || isLate) {
@@ -280,6 +346,8 @@
     this->confirmed = this->confirmed || freshness == Freshness::Latest;
     this->staleCopy.reset();
     this->applySnapshot(std::move(reply.events), reply.position);
+    if (freshness == Freshness::Latest)
+        this->onConfirmed(askedAt);
     // A follower asks its relay for the configuration with its first request.
     if (first && this->isRelay && this->position.era > 0)
         this->requestNewerConfiguration();
@@ -321,7 +389,7 @@
     this->retryLater(&RegistrySync::watch);
 }
 
-void RegistrySync::onWatched(RegistryReply&& reply)
+void RegistrySync::onWatched(RegistryReply&& reply, Milliseconds askedAt)
 {
     // Revisions are issued again after a restoration, so the changes after this node's revision are not those that it
     // lacks.
@@ -347,6 +415,7 @@
     this->onConnected();
     bool const changed = !reply.events.empty();
     this->applyChanges(std::move(reply.events), reply.position);
+    this->onConfirmed(askedAt);
     if (changed)
         this->context.hooks.schedule(this->now() + changePause, [this] { this->waitForChanges(); });
     else
@@ -382,7 +451,7 @@
     }
 }
 
-void RegistrySync::onFollowed(Relay& relay, RelayUpdate&& update)
+void RegistrySync::onFollowed(Relay& relay, RelayUpdate&& update, Milliseconds askedAt)
 {
     if (update.status == RegistryStatus::Ok) {
         this->applyObservations(update.observations);
@@ -399,6 +468,8 @@
         this->followedAt = this->now() - update.age;
         this->onConnected();
         this->applyChanges(std::move(update.events), update.position);
+        if (update.confirmedAge)
+            this->onConfirmed(askedAt - *update.confirmedAge);
         this->waitForChanges();
         return;
     }
@@ -427,6 +498,8 @@
     update.age = now - this->lastContactAt;
     update.failureDomain = this->gateway.failureDomain();
     update.followers = this->followers;
+    if (this->hooks.confirmedAge)
+        update.confirmedAge = this->hooks.confirmedAge();
     if (this->outageEndedAt && now - *this->outageEndedAt < expiredEntryGrace)
         update.outageEnded = now - *this->outageEndedAt;
 }
@@ -513,6 +586,8 @@
             this->logUnusable(*unusable);
         } else if (auto const* const nodes = std::get_if<NodeCountPut>(&event.change)) {
             this->applyNodeCount(event.key, *nodes);
+        } else if (auto const* const roster = std::get_if<RosterPut>(&event.change)) {
+            this->applyRoster(event, *roster);
         }
     }
     this->scheduleExpiry();
@@ -535,6 +610,7 @@
         this->registryRelay.reset(events, read);
     std::vector<TargetRegistration> registrations;
     std::set<std::string> evacuations;
+    bool const hadRoster = std::exchange(this->hasRoster, false);
     for (auto& event : events) {
         if (auto* const put = std::get_if<TargetPut>(&event.change)) {
             put->registration.position = { read.era, event.revision };
@@ -547,7 +623,12 @@
             this->logUnusable(*unusable);
         else if (auto const* const nodes = std::get_if<NodeCountPut>(&event.change))
             this->applyNodeCount(event.key, *nodes);
+        else if (auto const* const roster = std::get_if<RosterPut>(&event.change))
+            this->applyRoster(event, *roster);
     }
+    // A registry that was restored from a copy may hold none any more.
+    if (hadRoster && !this->hasRoster && this->hooks.rosterRead)
+        this->hooks.rosterRead(std::nullopt, 0);
     // Before the targets, so that none of an evacuated failure domain is used in between.
     this->context.directory.replaceEvacuations(evacuations, this->removal(), this->keepUntil());
     this->context.directory.replaceAll(registrations, this->removal(), this->keepUntil(), this->now());
--- a/Libraries/Gateway/RegistrySync.h
+++ b/Libraries/Gateway/RegistrySync.h
@@ -5,10 +5,12 @@
 #include "Gateway/Gateway.h"
 #include "Gateway/RegistryEvent.h"
 #include "Gateway/RegistryRelay.h"
+#include "Succession/RelaySuccession.h"
 
 #include <algorithm>
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -39,6 +41,21 @@
         /// Writes the number of nodes to the registry; `done` gets the reason of a failure, empty for a success. May be
         /// empty.
         std::function<void(uint32_t nodes, std::function<void(std::string const& failure)> done)> writeNodes {};
+        /// Writes the roster of relays if its entry is of the revision, 0 when there must be none; `done` as above. May
+        /// be empty.
+        std::function<void(
+            uint64_t expectedRevision, RelayRoster const& roster, std::function<void(std::string const& failure)> done)>
+            writeRoster {};
+        /// The registry holds this roster of relays, none when it is empty, as of the revision of its entry. May be
+        /// empty.
+        std::function<void(std::optional<RelayRoster> const&, uint64_t revision)> rosterRead {};
+        /// Time of the clock that includes suspension; may be empty.
+        std::function<Milliseconds()> bootTime {};
+        /// The registry has confirmed the state that this node now holds, as of that time of the clock that includes
+        /// suspension. May be empty.
+        std::function<void(Milliseconds)> confirmed {};
+        /// Age of the last such time, for followers; empty without one or without a roster. May be empty.
+        std::function<std::optional<Milliseconds>()> confirmedAge {};
     };
 
     struct Topology {
@@ -46,6 +63,8 @@
         std::vector<std::string> relays;
         /// This node's own address among them; empty when it is no relay.
         std::string ownRelay {};
+        /// This node's address for other nodes; empty when it can be no relay.
+        std::string ownAddress {};
         /// Number of nodes that is assumed until the relays have counted them.
         uint32_t assumedNodes { 1 };
     };
@@ -77,6 +96,13 @@
     void updateNodes(std::optional<uint32_t> counted);
     /// Writes the counted number of nodes to the registry when StoredNodeCount decides so.
     void storeNodes(std::optional<uint32_t> counted, bool isFirstRelay);
+    /// Replaces the relays. A node that becomes a relay reads all entries first; one that is no longer a relay follows
+    /// another one.
+    void setRelays(std::vector<std::string> const& addresses);
+    /// Writes a change of the roster of relays.
+    void writeRoster(RelaySuccession::Write const& write);
+    /// Whether a relay has confirmed this node's state recently.
+    bool followsRelay() const;
     /// Replaces Topology::assumedNodes.
     void setAssumedNodes(uint32_t count);
     void setFollowers(uint32_t count) { this->followers = count; }
@@ -105,7 +131,7 @@
     void list(Freshness freshness);
     void listLatest() { this->list(Freshness::Latest); }
     void copyFromRelay();
-    void copyFrom(Relay& relay);
+    void copyFrom(std::shared_ptr<Relay> const& relay);
     /// Requests the configurations of the other relays after the first read of a registry that was restored: it may
     /// show an older one than they have accepted.
     void requestNewerConfiguration();
@@ -117,17 +143,18 @@
     /// Waits for changes at a relay, or at the registry when no relay is available.
     void waitForChanges();
     void watch();
-    void follow(Relay& relay);
+    void follow(std::shared_ptr<Relay> const& relay);
     /// Requests changes from another relay, without waiting for new ones, after the registry has failed this relay: it
     /// may refuse this node alone. The registry itself is called again with the usual delay.
     void pollRelay();
-    void onPolled(Relay& relay, RelayUpdate&& update);
-    Relay* chooseRelay();
-    void onListed(Freshness freshness, RegistryReply&& reply);
+    void onPolled(std::shared_ptr<Relay> const& relay, RelayUpdate&& update, Milliseconds askedAt);
+    std::shared_ptr<Relay> chooseRelay();
+    /// `askedAt`, here and below: time of the clock that includes suspension at which the call was sent.
+    void onListed(Freshness freshness, RegistryReply&& reply, Milliseconds askedAt);
     void onCopied(Relay& relay, RelayUpdate&& update);
     void installCopy(std::string const& source, RelayUpdate&& update);
-    void onWatched(RegistryReply&& reply);
-    void onFollowed(Relay& relay, RelayUpdate&& update);
+    void onWatched(RegistryReply&& reply, Milliseconds askedAt);
+    void onFollowed(Relay& relay, RelayUpdate&& update, Milliseconds askedAt);
     void applySnapshot(std::vector<RegistryEvent>&& events, RegistryPosition read);
     void applyChanges(std::vector<RegistryEvent>&& events, RegistryPosition reached);
     void onFailure(std::string const& reason, std::string_view call);
@@ -135,6 +162,10 @@
     void retryLater(void (RegistrySync::*call)());
     void logUnusable(UnusableEntry const& entry);
     void applyNodeCount(std::string const& key, NodeCountPut const& put);
+    void applyRoster(RegistryEvent const& event, RosterPut const& put);
+    Milliseconds bootTime() const;
+    /// `at`: time at which the call was sent.
+    void onConfirmed(Milliseconds at);
     void scheduleExpiry();
     TargetDirectory::Removal removal() const;
     Milliseconds keepUntil() const;
@@ -142,8 +173,9 @@
 
     Gateway& gateway;
     GatewayContext& context;
-    /// The other relays.
-    std::vector<Relay> relays;
+    /// The other relays. A call to one that is replaced meanwhile keeps it.
+    std::vector<std::shared_ptr<Relay>> relays;
+    std::string ownAddress;
     bool isRelay;
     uint32_t followers { 0 };
     size_t relayCount;
@@ -157,6 +189,8 @@
     /// Era of the last watch that showed a restoration, so that a read of an earlier era is not followed by the next
     /// watch at once; 0 after such a read.
     uint64_t seenEra { 0 };
+    /// Whether the registry holds a roster of relays.
+    bool hasRoster { false };
     bool loaded { false };
     Milliseconds loadedAt;
     /// Whether the state has been confirmed since the first read, which may be seconds old.
--- a/Libraries/GatewayNode/GatewayServer.cpp
+++ b/Libraries/GatewayNode/GatewayServer.cpp
@@ -5,6 +5,7 @@
 #include <Poco/Exception.h>
 #include <Poco/Net/SocketAddress.h>
 #include <algorithm>
+#include <cmath>
 #include <glog/logging.h>
 
 namespace Toucan {
@@ -49,6 +50,8 @@
 /// Shortest life of the tokens that a node without relays issues itself; they are used at once, but a request may wait
 /// for a connection.
 constexpr Milliseconds ownTokenLife { 100 };
+/// Period in which relays are asked whether they run, and changes of the roster are decided.
+constexpr Milliseconds supervisionPeriod { 500 };
 /// A relay runs that has accepted a report within this time.
 constexpr Milliseconds relayReportLifetime { 3000 };
 /// Time to send the last answers before the loop stops.
@@ -60,10 +63,24 @@
     return settings.memoryMegabytes * bytesPerMegabyte / divisor;
 }
 
+static std::string joinAddresses(std::vector<std::string> const& addresses)
+{
+    std::string joined;
+    for (auto const& address : addresses) {
+        if (!joined.empty())
+            joined += ',';
+        joined += address.empty() ? "-" : address;
+    }
+    return joined;
+}
+
 GatewayServer::GatewayServer(GatewaySettings settings, Hooks hooks)
     : settings(std::move(settings))
     , hooks(std::move(hooks))
     , randomEngine(std::random_device {}())
+    , succession({ this->settings.relayListen, this->settings.relays,
+          [this] { return std::uniform_real_distribution<double>(0, 1)(this->randomEngine); } })
+    , issuing({ this->settings.relayListen, this->settings.relays, Clock::bootTime() })
     , quotaIssuer(this->createQuotaIssuer())
     , quota({ this->settings.name, this->settings.relays, this->settings.workspaceLimits }, this->createQuotaHooks())
     , gateway({ .failureDomain = this->settings.failureDomain,
@@ -84,7 +101,7 @@
               {}, {}, {} })
     , relayClient(this->loop, this->hooks.decodeEntry, this->settings.name)
     , registry(this->gateway,
-          { this->settings.relays, this->isRelay() ? this->settings.relayListen : "",
+          { this->settings.relays, this->isRelay() ? this->settings.relayListen : "", this->settings.relayListen,
               this->settings.connectionSharers },
           this->createRegistryHooks())
     , allowance({ this->settings.extraAttempts.allowance, this->settings.totalExtraAttempts })
@@ -151,10 +168,16 @@
         for (auto const& observation : observations)
             this->relayOutbox.add(observation);
     };
-    if (this->isRelay())
-        relayHooks.quota = [this](QuotaRequest const& request, std::function<void(QuotaAnswer &&)> done) {
-            this->quotaIssuer->handle(request, std::move(done));
-        };
+    relayHooks.quota = [this](QuotaRequest const& request, std::function<void(QuotaAnswer &&)> done) {
+        return this->answerQuota(request, std::move(done));
+    };
+    relayHooks.followed = [this](std::string const& node, std::string const& address) {
+        this->issuing.onNodeHeard(node, Clock::bootTime());
+        if (!address.empty())
+            this->succession.onFollower(address, Clock::now());
+    };
+    relayHooks.answerProbe
+        = [this](IssuingShare::Asker asker) { return this->issuing.answerProbe(asker, Clock::bootTime()); };
     return relayHooks;
 }
 
@@ -163,11 +186,17 @@
     auto registryHooks = this->hooks.connectRegistry(this->loop, this->settings);
     registryHooks.follow
         = [this](std::string const& relay, RelayRequest request, std::function<void(RelayUpdate &&)> done) {
-              this->relayClient.follow(relay, request, std::move(done));
+              this->relayClient.follow(relay, std::move(request), std::move(done));
           };
     registryHooks.copy = [this](std::string const& relay, std::function<void(RelayUpdate &&)> done) {
         this->relayClient.copy(relay, std::move(done));
     };
+    registryHooks.rosterRead
+        = [this](std::optional<RelayRoster> const& roster, uint64_t revision) { this->applyRoster(roster, revision); };
+    registryHooks.bootTime = [] { return Clock::bootTime(); };
+    registryHooks.confirmed = [this](Milliseconds at) { this->issuing.onConfirmed(at); };
+    registryHooks.confirmedAge
+        = [this] { return this->succession.roster() ? this->issuing.confirmedAge(Clock::bootTime()) : std::nullopt; };
     return registryHooks;
 }
 
@@ -185,7 +214,7 @@
 void GatewayServer::notifyOtherRelays(std::span<TargetObservation const> observations)
 {
     auto const body = writeObservations(observations);
-    for (auto const& relay : this->settings.relays) {
+    for (auto const& relay : this->succession.relays()) {
         if (relay != this->settings.relayListen)
             this->report(relay, RelayClient::Reporter::Relay, body);
     }
@@ -201,6 +230,9 @@
 
 void GatewayServer::countNodes()
 {
+    this->countsNodes = this->isRelay();
+    if (!this->countsNodes)
+        return;
     auto const now = Clock::now();
     auto& nodes = this->relayServer->nodes();
     nodes.onSeen(this->settings.name, now);
@@ -209,7 +241,7 @@
     auto const counted = nodes.count(now);
     this->registry.updateNodes(counted);
     this->registry.storeNodes(counted, this->isFirstRunningRelay(now));
-    for (auto const& relay : this->settings.relays) {
+    for (auto const& relay : this->succession.relays()) {
         if (relay != this->settings.relayListen)
             this->relayClient.reportNodes(relay, nodes.report(this->settings.name, now),
                 [this, relay] { this->relayHeardAt[relay] = Clock::now(); });
@@ -219,7 +251,7 @@
 
 bool GatewayServer::isFirstRunningRelay(Milliseconds now) const
 {
-    for (auto const& relay : this->settings.relays) {
+    for (auto const& relay : this->succession.relays()) {
         if (relay == this->settings.relayListen)
             return true;
         auto const heard = this->relayHeardAt.find(relay);
@@ -229,10 +261,101 @@
     return false;
 }
 
-bool GatewayServer::isRelay() const
+bool GatewayServer::isRelay() const { return this->succession.isRelay(); }
+
+void GatewayServer::applyRoster(std::optional<RelayRoster> const& roster, uint64_t revision)
+{
+    bool const changed = this->succession.onRoster(roster, revision, Clock::now());
+    if (auto const* const current = this->succession.roster()) {
+        this->issuing.onRoster(*current, Clock::bootTime());
+        this->gateway.sharedContext().log.line("relay-roster",
+            { { "term", std::to_string(current->term) }, { "revision", std::to_string(revision) },
+                { "outcome", roster && roster->term == current->term ? "applied" : "later one kept" },
+                { "relays", joinAddresses(current->slots) },
+                { "claimed_by", current->claim ? current->claim->by : "" } },
+            DecisionLog::Delivery::Always);
+    }
+    if (changed)
+        this->applyRelays();
+    this->applyIssuingShare();
+    if (!std::exchange(this->supervisesRelays, true))
+        this->superviseRelays();
+}
+
+void GatewayServer::applyRelays()
+{
+    auto const relays = this->succession.relays();
+    this->registry.setRelays(relays);
+    this->quota.setRelays(relays);
+    if (this->quotaIssuer) {
+        auto others = relays;
+        std::erase(others, this->settings.relayListen);
+        this->quotaIssuer->setOthers(others);
+    }
+    if (this->isRelay() && this->relayServer && !this->countsNodes) {
+        // Nodes that follow the other relays have to come first.
+        this->relayServer->nodes() = NodeCounter(Clock::now());
+        this->countNodes();
+    }
+}
+
+void GatewayServer::superviseRelays()
 {
-    auto const& relays = this->settings.relays;
-    return std::find(relays.begin(), relays.end(), this->settings.relayListen) != relays.end();
+    RelaySuccession::Conditions const conditions { this->hasLimits, this->registry.isFollowable(),
+        this->registry.followsRelay(), this->assumedNodes() };
+    for (auto const& relay : this->succession.takeProbes(conditions, Clock::now())) {
+        auto const asker = conditions.isConnected ? IssuingShare::Asker::Connected : IssuingShare::Asker::Other;
+        this->relayClient.probe(relay, asker, [this, relay](bool runs) {
+            if (runs)
+                this->succession.onAnswered(relay);
+            else
+                this->succession.onUnanswered(relay, Clock::now());
+        });
+    }
+    if (auto const write = this->succession.takeWrite(conditions, Clock::now()))
+        this->registry.writeRoster(*write);
+    this->applyIssuingShare();
+    this->loop.schedule(Clock::now() + supervisionPeriod, [this] { this->superviseRelays(); });
+}
+
+uint32_t GatewayServer::assumedNodes() const
+{
+    // A stored number may be a fifth too small.
+    constexpr double storedReserve = 1.25;
+    auto const known = this->registry.knownNodes();
+    if (known.count == 0)
+        return std::max(this->settings.connectionSharers, this->registry.estimatedNodes());
+    bool const isStored = known.source == ExtraAttemptAllowance::Nodes::Source::Stored;
+    return isStored ? static_cast<uint32_t>(std::ceil(known.count * storedReserve)) : known.count;
+}
+
+bool GatewayServer::applyIssuingShare()
+{
+    if (!this->quotaIssuer)
+        return false;
+    // A node without relays issues by its own rule until there is a roster.
+    if (this->settings.relays.empty() && !this->succession.roster())
+        return true;
+    auto const share = this->issuing.share(this->assumedNodes(), Clock::bootTime());
+    if (share == this->issuingShare)
+        return share > 0;
+    if (this->issuingShare == 0)
+        this->quotaIssuer->succeed();
+    this->gateway.sharedContext().log.line("issuing-share",
+        { { "share", std::to_string(share) }, { "before", std::to_string(this->issuingShare) } },
+        DecisionLog::Delivery::Always);
+    this->quotaIssuer->setShare(share);
+    this->issuingShare = share;
+    return share > 0;
+}
+
+bool GatewayServer::answerQuota(QuotaRequest const& request, std::function<void(QuotaAnswer&&)> done)
+{
+    this->issuing.onNodeHeard(request.node, Clock::bootTime());
+    if (!this->applyIssuingShare())
+        return false;
+    this->quotaIssuer->handle(request, std::move(done));
+    return true;
 }
 
 HttpClientPool::Limits GatewayServer::targetLimits()
@@ -289,7 +412,7 @@
 std::unique_ptr<QuotaIssuer> GatewayServer::createQuotaIssuer()
 {
     bool const isAlone = this->settings.relays.empty();
-    if (!isAlone && !this->isRelay())
+    if (!isAlone && this->settings.relayListen.empty())
         return nullptr;
     QuotaIssuer::Options options;
     options.node = this->settings.name;
@@ -311,7 +434,12 @@
     issuerHooks.ask = [this](std::string const& issuer, QuotaRequest const& request, QuotaIssuer::AskDone done) {
         this->relayClient.askQuota(issuer, request, std::move(done));
     };
-    return std::make_unique<QuotaIssuer>(std::move(options), std::move(issuerHooks));
+    auto issuer = std::make_unique<QuotaIssuer>(std::move(options), std::move(issuerHooks));
+    if (!isAlone) {
+        this->issuingShare = this->issuing.share(0, Clock::bootTime());
+        issuer->setShare(this->issuingShare);
+    }
+    return issuer;
 }
 
 QuotaClient::Hooks GatewayServer::createQuotaHooks()
@@ -335,7 +463,10 @@
     if (relay.empty()) {
         this->quotaIssuer->handle(request, std::move(done));
     } else if (relay == this->settings.relayListen) {
-        this->loop.atTurnEnd([this, request, done = std::move(done)] { this->quotaIssuer->handle(request, done); });
+        this->loop.atTurnEnd([this, request, done = std::move(done)] {
+            if (!this->answerQuota(request, done))
+                done(std::nullopt);
+        });
     } else {
         this->relayClient.askQuota(relay, request, std::move(done));
     }
@@ -351,6 +482,9 @@
     this->quota.setRules(configuration.version, rules);
     if (this->quotaIssuer)
         this->quotaIssuer->setRules(configuration.version, rules);
+    this->hasLimits = !rules.empty();
+    if (this->hasLimits && !std::exchange(this->supervisesRelays, true))
+        this->loop.schedule(Clock::now(), [this] { this->superviseRelays(); });
 }
 
 uint32_t GatewayServer::connectionShare(uint32_t limit) const
--- a/Libraries/GatewayNode/GatewayServer.h
+++ b/Libraries/GatewayNode/GatewayServer.h
@@ -12,6 +12,8 @@
 #include "Net/HttpServer.h"
 #include "Quota/QuotaClient.h"
 #include "Quota/QuotaIssuer.h"
+#include "Succession/IssuingShare.h"
+#include "Succession/RelaySuccession.h"
 #include "Workspaces/ConfirmationMonitor.h"
 
 #include <atomic>
@@ -67,6 +69,18 @@
     QuotaClient::Hooks createQuotaHooks();
     /// Sends a request for tokens to a relay, which may be this node.
     void askQuota(std::string const& relay, QuotaRequest const& request, QuotaClient::AskDone done);
+    /// Answers a request for tokens of another node or of this one; returns false, without a call of `done`, when this
+    /// node issues none.
+    bool answerQuota(QuotaRequest const& request, std::function<void(QuotaAnswer&&)> done);
+    /// Applies this node's present part of the limits to its issuer; returns whether it issues any.
+    bool applyIssuingShare();
+    /// Upper estimate of the number of nodes.
+    uint32_t assumedNodes() const;
+    void applyRoster(std::optional<RelayRoster> const& roster, uint64_t revision);
+    /// Follows, asks and counts for the relays in force.
+    void applyRelays();
+    /// Asks the relays whether they run, decides on changes of the roster, and repeats it.
+    void superviseRelays();
     /// Applies the limits of workspaces.
     void setQuotaRules(RoutingConfiguration const& configuration);
     /// Whether this relay is the first one of the list that runs.
@@ -102,7 +116,14 @@
     Hooks hooks;
     std::mt19937_64 randomEngine;
     EventLoop loop;
-    /// Issues tokens of workspaces' limits; null on a node that only asks relays.
+    RelaySuccession succession;
+    IssuingShare issuing;
+    /// Part of the limits that the issuer was last given.
+    double issuingShare { 0 };
+    bool hasLimits { false };
+    bool supervisesRelays { false };
+    bool countsNodes { false };
+    /// Issues tokens of workspaces' limits; null on a node that can only ask relays.
     std::unique_ptr<QuotaIssuer> quotaIssuer;
     QuotaClient quota;
     Gateway gateway;
--- a/Libraries/GatewayNode/RelayClient.cpp
+++ b/Libraries/GatewayNode/RelayClient.cpp
@@ -16,8 +16,10 @@
 /// One waiting request for changes, and one report of observations.
 constexpr uint32_t connectionsPerRelay = 2;
 constexpr Milliseconds reportTimeout { 500 };
+constexpr Milliseconds probeTimeout { 450 };
 /// Time after which the next relay is asked for tokens, including the time to connect.
 constexpr Milliseconds quotaTimeout { 25 };
+constexpr size_t maximumProbeAnswerBytes = 4096;
 /// More than the answer to a message with the largest number of asks.
 constexpr size_t maximumQuotaAnswerBytes = 1048576;
 
@@ -25,6 +27,7 @@
     : decode(std::move(decode))
     , node(std::move(node))
     , pool(loop, { .sizes = { 16384, maximumAnswerBytes }, .connectTimeout = connectTimeout })
+    , probePool(loop, { .sizes = { 16384, maximumProbeAnswerBytes }, .connectTimeout = connectTimeout })
     , quotaPool(loop, { .sizes = { 16384, maximumQuotaAnswerBytes }, .connectTimeout = quotaTimeout })
 {
 }
@@ -42,6 +45,8 @@
     uri.addQueryParameter(RelayServer::compactParameter, "1");
     if (!this->node.empty())
         uri.addQueryParameter(RelayServer::nodeParameter, this->node);
+    if (!request.address.empty())
+        uri.addQueryParameter(RelayServer::addressParameter, request.address);
     this->call(relay, uri.getPathAndQuery(), std::move(done));
 }
 
@@ -68,6 +73,22 @@
         relay, RelayServer::nodesPath, writeNodeReport(report), { [](std::string const&) {}, std::move(received) });
 }
 
+void RelayClient::probe(std::string const& relay, IssuingShare::Asker asker, std::function<void(bool)> done)
+{
+    Poco::URI uri(RelayServer::statusPath);
+    if (asker == IssuingShare::Asker::Connected)
+        uri.addQueryParameter(RelayServer::connectedParameter, "1");
+    HttpExchange exchange;
+    exchange.head = Poco::Net::HTTPRequest("GET", uri.getPathAndQuery(), Poco::Net::HTTPMessage::HTTP_1_1);
+    exchange.timeout = probeTimeout;
+    exchange.done = [done = std::move(done)](HttpClientResult&& result) {
+        // A relay of the version before knows no such path, and runs.
+        bool const answered = result.transport == HttpTransportStatus::Answered;
+        done(answered && result.head.getStatus() != HTTPResponse::HTTP_SERVICE_UNAVAILABLE);
+    };
+    this->probePool.send(relay, 1, std::move(exchange));
+}
+
 void RelayClient::askQuota(
     std::string const& relay, QuotaRequest const& request, std::function<void(std::optional<QuotaAnswer>&&)> done)
 {
--- a/Libraries/GatewayNode/RelayClient.h
+++ b/Libraries/GatewayNode/RelayClient.h
@@ -3,6 +3,7 @@
 #include "GatewayNode/RelayCodec.h"
 #include "Net/HttpClientPool.h"
 #include "Quota/QuotaMessages.h"
+#include "Succession/IssuingShare.h"
 
 #include <functional>
 #include <optional>
@@ -33,6 +34,8 @@
     /// no usable answer in time.
     void askQuota(
         std::string const& relay, QuotaRequest const& request, std::function<void(std::optional<QuotaAnswer>&&)> done);
+    /// Asks a relay whether it runs, IssuingShare::answerProbe(). `done` is called once.
+    void probe(std::string const& relay, IssuingShare::Asker asker, std::function<void(bool)> done);
     /// Sends the nodes that this relay has seen to another relay; `received` is called when that one accepts them.
     void reportNodes(std::string const& relay, NodeReport const& report, std::function<void()> received);
 
@@ -48,6 +51,8 @@
     RegistryDecoder decode;
     std::string node;
     HttpClientPool pool;
+    /// Apart, so that an answer shows the state of the relay and not of the exchanges before it.
+    HttpClientPool probePool;
     /// Apart, so that requests for tokens never wait for another exchange.
     HttpClientPool quotaPool;
 };
--- a/Libraries/GatewayNode/RelayCodec.cpp
+++ b/Libraries/GatewayNode/RelayCodec.cpp
@@ -257,6 +257,8 @@
     if (update.outageEnded)
         body["outageEndedMs"] = wholeMilliseconds(*update.outageEnded);
     body["failureDomain"] = update.failureDomain;
+    if (update.confirmedAge)
+        body["confirmedMs"] = wholeMilliseconds(*update.confirmedAge);
     body["followers"] = update.followers;
     if (update.nodes)
         body["nodes"] = *update.nodes;
@@ -333,6 +335,9 @@
     if (document["outageEndedMs"].isUInt64())
         update.outageEnded = Milliseconds { document["outageEndedMs"].asDouble() };
     update.failureDomain = document["failureDomain"].asString();
+    // Rounded down by the sender.
+    if (document["confirmedMs"].isUInt64())
+        update.confirmedAge = Milliseconds { document["confirmedMs"].asDouble() + 1 };
     if (document["followers"].isUInt())
         update.followers = document["followers"].asUInt();
     if (document["nodes"].isUInt())
--- a/Libraries/GatewayNode/RelayServer.cpp
+++ b/Libraries/GatewayNode/RelayServer.cpp
@@ -89,13 +89,22 @@
         else if (uri.getPath() == quotaPath && this->hooks.quota)
             this->handleQuota(session, request);
         else if (uri.getPath() == changesPath && revision) {
-            if (auto const node = readText(uri, nodeParameter); !node.empty())
+            if (auto const node = readText(uri, nodeParameter); !node.empty()) {
                 this->nodeCounter.onSeen(node, Clock::now());
+                if (this->hooks.followed)
+                    this->hooks.followed(node, readText(uri, addressParameter));
+            }
             this->answerChanges(session,
                 { { readNumber(uri, eraParameter).value_or(0), *revision }, readNumber(uri, "observation").value_or(0),
                     Milliseconds { static_cast<double>(readNumber(uri, "wait").value_or(0)) },
                     readNumber(uri, configurationParameter) },
                 format);
+        } else if (uri.getPath() == statusPath && this->hooks.answerProbe) {
+            auto const asker = readNumber(uri, connectedParameter).value_or(0) ? IssuingShare::Asker::Connected
+                                                                               : IssuingShare::Asker::Other;
+            HTTPResponse head(
+                this->hooks.answerProbe(asker) ? HTTPResponse::HTTP_OK : HTTPResponse::HTTP_SERVICE_UNAVAILABLE);
+            session->respond(head, "");
         } else if (uri.getPath() == nodesPath)
             this->handleNodeReport(session, request);
         else if (uri.getPath() == observationsPath)
@@ -166,11 +175,13 @@
 void RelayServer::handleQuota(HttpServerSession::Pointer const& session, HttpServerRequest const& request)
 {
     this->quotaSessions[session.get()] = session;
-    this->hooks.quota(readQuotaRequest(request.body), [session](QuotaAnswer&& answer) {
+    bool const issues = this->hooks.quota(readQuotaRequest(request.body), [session](QuotaAnswer&& answer) {
         HTTPResponse head(HTTPResponse::HTTP_OK);
         head.setContentType("application/json");
         session->respond(head, writeQuotaAnswer(answer));
     });
+    if (!issues)
+        session->refuse({ HTTPResponse::HTTP_NOT_FOUND, "This node issues no tokens", "Ask the relays" });
 }
 
 void RelayServer::publish(std::span<TargetObservation const> observations)
--- a/Libraries/GatewayNode/RelayServer.h
+++ b/Libraries/GatewayNode/RelayServer.h
@@ -6,6 +6,7 @@
 #include "GatewayNode/RelayCodec.h"
 #include "Net/HttpServer.h"
 #include "Quota/QuotaMessages.h"
+#include "Succession/IssuingShare.h"
 
 #include <deque>
 #include <memory>
@@ -23,11 +24,17 @@
     static constexpr auto observationsPath = "/v1/targets/observations";
     /// Reports of other relays, writeNodeReport().
     static constexpr auto nodesPath = "/v1/nodes";
+    /// Whether this node runs, IssuingShare::answerProbe(): 200, else 503.
+    static constexpr auto statusPath = "/v1/relay/status";
+    /// Query parameter of such a request: whether the registry has answered the asking node recently.
+    static constexpr auto connectedParameter = "connected";
     /// Requests for tokens of limits, writeQuotaRequest().
     static constexpr auto quotaPath = "/v1/quota";
     static constexpr Milliseconds maximumWait { 800 };
     /// Query parameter of a request for changes: the name of the node, which is counted.
     static constexpr auto nodeParameter = "node";
+    /// Query parameter of a request for changes: the address of the node for other nodes.
+    static constexpr auto addressParameter = "address";
     /// Query parameter of a report that a relay sends; it is not passed on to other relays.
     static constexpr auto relayedParameter = "relayed";
 
@@ -41,8 +48,13 @@
         RegistryCompactor compact;
         /// Observations that a follower reported, for the other relays.
         std::function<void(std::span<TargetObservation const>)> reported;
-        /// Answers a request for tokens, at once or later; empty when this node issues none.
-        std::function<void(QuotaRequest const&, std::function<void(QuotaAnswer&&)> done)> quota {};
+        /// Answers a request for tokens, at once or later; returns false, without a call of `done`, while this node
+        /// issues none. May be empty.
+        std::function<bool(QuotaRequest const&, std::function<void(QuotaAnswer&&)> done)> quota {};
+        /// A node has asked for changes; its address is empty when it states none. May be empty.
+        std::function<void(std::string const& node, std::string const& address)> followed {};
+        /// The answer to statusPath.
+        std::function<bool(IssuingShare::Asker)> answerProbe {};
     };
 
     /// Query parameter of a request for a compact answer.
--- a/Libraries/Quota/QuotaBucket.cpp
+++ b/Libraries/Quota/QuotaBucket.cpp
@@ -14,9 +14,16 @@
         std::clamp(shape.restartTokens, 0.0, largestCapacity) };
 }
 
+static double initialLevel(QuotaBucket::Shape const& shape, QuotaBucket::Start start)
+{
+    if (start == QuotaBucket::Start::Empty)
+        return 0;
+    return start == QuotaBucket::Start::Full ? shape.capacity : std::min(shape.restartTokens, shape.capacity);
+}
+
 QuotaBucket::QuotaBucket(Shape shape, Start start, Milliseconds now)
     : shape(clamped(shape))
-    , level(start == Start::Full ? this->shape.capacity : std::min(this->shape.restartTokens, this->shape.capacity))
+    , level(initialLevel(this->shape, start))
     , refilledAt(now)
 {
 }
--- a/Libraries/Quota/QuotaBucket.h
+++ b/Libraries/Quota/QuotaBucket.h
@@ -24,6 +24,8 @@
         /// With the tokens of a restart.
         Restarted,
         Full,
+        /// Without tokens: another issuer may have issued all that the bound allows.
+        Empty,
     };
 
     QuotaBucket(Shape shape, Start start, Milliseconds now);
--- a/Libraries/Quota/QuotaClient.cpp
+++ b/Libraries/Quota/QuotaClient.cpp
@@ -37,11 +37,36 @@
 QuotaClient::QuotaClient(Options options, Hooks hooks)
     : options(std::move(options))
     , hooks(std::move(hooks))
+{
+    this->addChannels();
+}
+
+void QuotaClient::addChannels()
 {
     for (auto const& relay : this->options.relays)
         this->channels.push_back({ relay, false, {}, {}, false, {}, {} });
 }
 
+void QuotaClient::setRelays(std::vector<std::string> const& addresses)
+{
+    if (addresses.empty() || addresses == this->options.relays)
+        return;
+    this->options.relays = addresses;
+    ++this->relaysVersion;
+    this->channels.clear();
+    this->addChannels();
+    auto const now = this->hooks.now();
+    Completions completions;
+    for (auto& [name, limit] : this->limits) {
+        this->orderRelays(limit);
+        this->askNext(name, limit, now, completions);
+    }
+    for (size_t index = 0; index < this->channels.size(); ++index)
+        this->flush(index);
+    for (auto const& completion : completions)
+        completion();
+}
+
 void QuotaClient::setRules(uint64_t newVersion, std::span<NamedQuota const> newRules)
 {
     this->version = newVersion;
@@ -55,20 +80,26 @@
     std::erase_if(this->rules, [&present](auto const& entry) { return !present.contains(entry.first); });
 }
 
+void QuotaClient::orderRelays(Limit& limit) const
+{
+    // Rendezvous hashing: the order of the relays is the same at all nodes.
+    std::vector<std::pair<uint64_t, size_t>> scores;
+    for (size_t index = 0; index < this->channels.size(); ++index)
+        scores.emplace_back(hash64(limit.name, hash64(this->channels[index].address)), index);
+    std::sort(scores.begin(), scores.end());
+    limit.order.clear();
+    for (auto const& [score, index] : scores)
+        limit.order.push_back(index);
+    limit.unusableUntil.assign(this->channels.size(), {});
+}
+
 QuotaClient::Limit& QuotaClient::activate(std::string const& name)
 {
     auto const [found, isNew] = this->limits.try_emplace(name);
     auto& limit = found->second;
     if (isNew) {
         limit.name = name;
-        // Rendezvous hashing: the order of the relays is the same at all nodes.
-        std::vector<std::pair<uint64_t, size_t>> scores;
-        for (size_t index = 0; index < this->channels.size(); ++index)
-            scores.emplace_back(hash64(name, hash64(this->channels[index].address)), index);
-        std::sort(scores.begin(), scores.end());
-        for (auto const& [score, index] : scores)
-            limit.order.push_back(index);
-        limit.unusableUntil.resize(this->channels.size());
+        this->orderRelays(limit);
     }
     auto const rule = this->rules.find(name);
     limit.life = rule == this->rules.end() ? longestLife : rule->second.rule.lifetime(this->options.bounds);
@@ -283,8 +314,12 @@
     channel.outstanding = true;
     channel.sentAt = this->hooks.now();
     this->count("quota_asks", 1);
-    this->hooks.ask(channel.address, request,
-        [this, index](std::optional<QuotaAnswer>&& answer) { this->onAnswer(index, std::move(answer)); });
+    this->hooks.ask(
+        channel.address, request, [this, index, asked = this->relaysVersion](std::optional<QuotaAnswer>&& answer) {
+            // Tokens of a relay that has been replaced meanwhile are lost.
+            if (asked == this->relaysVersion)
+                this->onAnswer(index, std::move(answer));
+        });
 }
 
 void QuotaClient::onAnswer(size_t index, std::optional<QuotaAnswer>&& answer)
--- a/Libraries/Quota/QuotaClient.h
+++ b/Libraries/Quota/QuotaClient.h
@@ -67,6 +67,9 @@
     /// Applies the limits of a configuration version.
     void setRules(uint64_t version, std::span<NamedQuota const> rules);
 
+    /// Replaces the relays. Waiting requests ask the new ones; tokens at hand stay valid.
+    void setRelays(std::vector<std::string> const& addresses);
+
     struct Acquired {
         /// Set when the result is known at once.
         std::optional<QuotaResult> result;
@@ -140,6 +143,9 @@
     };
     using Completions = std::vector<std::function<void()>>;
 
+    void addChannels();
+    /// Sets the order in which the relays are asked for the limit.
+    void orderRelays(Limit& limit) const;
     Limit& activate(std::string const& name);
     QuotaResult acquireOwn(std::string const& name, Milliseconds now);
     std::shared_ptr<QuotaPermit> createPermit(std::string const& name, Milliseconds expiresAt);
@@ -177,6 +183,8 @@
     std::unordered_map<std::string, Rule> rules;
     std::unordered_map<std::string, Limit> limits;
     std::vector<Channel> channels;
+    /// Number of the list of relays; answers of earlier ones are dropped.
+    uint64_t relaysVersion { 0 };
     uint64_t lastWaiter { 0 };
     Milliseconds lastRemoval;
 };
--- a/Libraries/Quota/QuotaIssuer.cpp
+++ b/Libraries/Quota/QuotaIssuer.cpp
@@ -37,18 +37,55 @@
 QuotaIssuer::QuotaIssuer(Options options, Hooks hooks)
     : options(std::move(options))
     , hooks(std::move(hooks))
+    , share(1.0 / this->options.issuers)
+{
+    this->addChannels();
+}
+
+void QuotaIssuer::addChannels()
 {
     for (auto const& other : this->options.others)
         this->channels.push_back({ other, false, {}, {}, {}, {}, {} });
 }
 
+void QuotaIssuer::setOthers(std::vector<std::string> const& addresses)
+{
+    if (addresses == this->options.others)
+        return;
+    this->options.others = addresses;
+    ++this->othersVersion;
+    this->channels.clear();
+    this->addChannels();
+    for (auto& [name, limit] : this->limits) {
+        if (limit.activity)
+            limit.activity->scarceUntil.assign(this->channels.size(), {});
+    }
+    this->pump();
+}
+
+void QuotaIssuer::setShare(double newShare)
+{
+    if (newShare == this->share)
+        return;
+    this->share = newShare;
+    auto const now = this->hooks.now();
+    for (auto& [name, limit] : this->limits)
+        limit.bucket.setShape(this->shapeOf(limit.rule, limit.life), now);
+}
+
+void QuotaIssuer::succeed()
+{
+    this->options.start = QuotaBucket::Start::Empty;
+    this->options.startedAt = this->hooks.now();
+}
+
 QuotaBucket::Shape QuotaIssuer::shapeOf(QuotaRule const& rule, Milliseconds life) const
 {
-    auto const share = 1.0 / this->options.issuers;
     auto const capacity = rule.capacity(this->options.bounds, life);
     auto const kept = std::max(rule.burst, tokensOfIdleIssuer * this->options.issuers);
     auto const restartTokens = std::max(capacity - kept, 0.0) / (1 + restartsInWindow);
-    return { rule.ratePerSecond * share, (capacity - restartsInWindow * restartTokens) * share, restartTokens * share };
+    return { rule.ratePerSecond * this->share, (capacity - restartsInWindow * restartTokens) * this->share,
+        restartTokens * this->share };
 }
 
 QuotaBucket::Start QuotaIssuer::startOf(Milliseconds life, Milliseconds now) const
@@ -382,8 +419,11 @@
     channel.sentAt = now;
     channel.nextForecast = now + forecastPeriod;
     channel.asked = request.asks;
-    this->hooks.ask(channel.address, request,
-        [this, index](std::optional<QuotaAnswer>&& answer) { this->onBorrowed(index, std::move(answer)); });
+    this->hooks.ask(
+        channel.address, request, [this, index, asked = this->othersVersion](std::optional<QuotaAnswer>&& answer) {
+            if (asked == this->othersVersion)
+                this->onBorrowed(index, std::move(answer));
+        });
 }
 
 void QuotaIssuer::onBorrowed(size_t index, std::optional<QuotaAnswer>&& answer)
--- a/Libraries/Quota/QuotaIssuer.h
+++ b/Libraries/Quota/QuotaIssuer.h
@@ -28,7 +28,7 @@
         std::string node;
         /// Addresses of the other issuers.
         std::vector<std::string> others {};
-        /// Number of issuers among which rates and capacities are divided.
+        /// Number of issuers among which rates and capacities are divided until setShare() is called.
         uint32_t issuers { 1 };
         QuotaBounds bounds {};
         /// Upper limit of the life of tokens.
@@ -52,6 +52,12 @@
 
     /// Applies the limits of a configuration version.
     void setRules(uint64_t version, std::span<NamedQuota const> rules);
+    /// Issues this part of each limit, between 0 and 1, from now on. Buckets lose what exceeds a smaller capacity.
+    void setShare(double share);
+    /// Begins to issue after another issuer: buckets of limits that are new in the next seconds begin empty.
+    void succeed();
+    /// Replaces the other issuers, from which tokens are borrowed.
+    void setOthers(std::vector<std::string> const& addresses);
     /// Answers a request: at once, or after at most 10 ms when tokens for waiting requests are borrowed first. Answers
     /// only from the own bucket when the request is from another issuer.
     void handle(QuotaRequest const& request, std::function<void(QuotaAnswer&&)> done);
@@ -135,12 +141,17 @@
     uint32_t reserveOf(Limit const& limit, Milliseconds now) const;
     void flush(size_t channel);
     void onBorrowed(size_t channel, std::optional<QuotaAnswer>&& answer);
+    void addChannels();
     double demandOf(Limit const& limit, Milliseconds now) const;
     void removeIdle(Milliseconds now);
 
     Options options;
     Hooks hooks;
+    /// Part of each limit that this issuer issues.
+    double share;
     uint64_t version { 0 };
+    /// Number of the list of other issuers; answers of earlier ones are dropped.
+    uint64_t othersVersion { 0 };
     std::unordered_map<std::string, Limit> limits;
     std::deque<std::shared_ptr<Held>> waiting;
     std::vector<Channel> channels;
--- /dev/null
+++ b/Libraries/Succession/IssuingShare.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "Base/Clock.h"
+#include "Succession/RelayRoster.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace Toucan {
+
+/// The part of each shared limit that this node may issue, so that the parts of all nodes add up to at most 1, also
+/// while nodes hold different rosters. A holder that the registry has not confirmed recently, and a successor whose
+/// predecessor may be such a holder, issue in proportion to the nodes that they hear: a node is heard on one side of a
+/// partition only. All times are of the clock that includes suspension. docs/design/succession.md has the argument.
+class IssuingShare {
+public:
+    /// Age of a confirmation up to which a holder relies on it. A successor waits as long before it issues.
+    static constexpr Milliseconds certainTime { 3000 };
+    /// Time after which a holder that was not confirmed, and does not hear all nodes, issues nothing.
+    static constexpr Milliseconds doubtTime { 60000 };
+
+    struct Options {
+        /// Address of this node; empty when it can be no relay.
+        std::string own;
+        /// Relays by the settings, in force while there is no roster.
+        std::vector<std::string> configured;
+        Milliseconds startedAt {};
+    };
+
+    explicit IssuingShare(Options options);
+
+    /// Applies the roster of the registry.
+    void onRoster(RelayRoster const& roster, Milliseconds now);
+    /// The registry has confirmed the roster that this node holds, as of `at`: the time at which the call was sent.
+    void onConfirmed(Milliseconds at) { this->confirmedAt = std::max(this->confirmedAt.value_or(at), at); }
+    /// Who asks whether this node runs.
+    enum class Asker {
+        /// A node that the registry has answered recently.
+        Connected,
+        Other,
+    };
+    /// Whether this node answers that it runs. One that was not confirmed for longer than any call takes, while the
+    /// registry answers others, is to be replaced: it answers no, and issues nothing until it is confirmed.
+    bool answerProbe(Asker asker, Milliseconds now);
+    /// Another node has asked this one for changes or tokens.
+    void onNodeHeard(std::string const& node, Milliseconds now) { this->heardAt[node] = now; }
+
+    /// Between 0 and 1. `nodes` is an upper estimate of the number of nodes, 0 when it is not known.
+    double share(uint32_t nodes, Milliseconds now);
+    /// Whether the registry has confirmed the roster recently.
+    bool isCertain(Milliseconds now) const;
+    /// Age of the last confirmation; empty when there is none.
+    std::optional<Milliseconds> confirmedAge(Milliseconds now) const;
+
+private:
+    /// Nodes heard recently, with this one.
+    uint32_t heard(Milliseconds now);
+
+    Options options;
+    std::optional<RelayRoster> roster;
+    std::optional<Milliseconds> confirmedAt;
+    std::optional<Milliseconds> resignedAt;
+    /// Time since which this node holds each slot that was taken from another one.
+    std::map<size_t, Milliseconds> takenAt;
+    /// Number of nodes while the roster was confirmed.
+    uint32_t knownNodes { 0 };
+    /// By name.
+    std::unordered_map<std::string, Milliseconds> heardAt;
+};
+
+} // namespace Toucan
--- a/Tests/Integration/platform_standin.py
+++ b/Tests/Integration/platform_standin.py
@@ -211,10 +211,19 @@
         self.answer_json(call, body, era)
 
     def answer_write(self, call):
-        """Writes the items of a transaction without conditions."""
-        for put in json.loads(call.rfile.read(int(call.headers["Content-Length"])))["puts"]:
-            self.put_bytes(put["key"], base64.b64decode(put["value"], validate=True))
-        self.answer_json(call, {"revision": self.revision})
+        """Writes the items of a transaction if its conditions hold."""
+        transaction = json.loads(call.rfile.read(int(call.headers["Content-Length"])))
+        with self.condition:
+            expected = transaction.get("expected", [])
+            held = all(self.items.get(row["key"], {"revision": 0})["revision"] == row["revision"] for row in expected)
+            for put in transaction["puts"] if held else []:
+                self.put_bytes(put["key"], base64.b64decode(put["value"], validate=True))
+            body = {"revision": self.revision} if held else {
+                "items": [self.items[row["key"]] for row in expected if row["key"] in self.items]}
+        if held:
+            self.answer_json(call, body)
+        else:
+            call.answer(412, json.dumps(body).encode(), [("Content-Type", "application/json")])
 
     def put_bytes(self, key, value):
         """Writes raw bytes."""
--- a/Tests/Integration/test_gateway_quota.py
+++ b/Tests/Integration/test_gateway_quota.py
@@ -24,6 +24,7 @@
     def setUp(self):
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
+        self.folder = folder.name
         self.store = Store()
         self.addCleanup(self.store.stop)
         self.targets = []
@@ -100,6 +101,63 @@
         for _, answer in refused:
             self.assertGreater(float(answer.headers["Retry-After"]), 0)
 
+    def restart(self, nodes, relays):
+        """Starts nodes again with a list of relays, as after a loss of all machines."""
+        for node in nodes:
+            node.settings.update(relays=relays, restarted=True)
+            node.settings_file.write_text(json.dumps(node.settings), encoding="utf-8")
+            node.start(wait=False)
+        for node in nodes:
+            wait_until(node.ready, 10)
+
+    def start_load(self, nodes, pause):
+        """Starts one caller for each node; the callers end with the test."""
+        for index, node in enumerate(nodes):
+            threading.Thread(target=self.load, args=(node, index, pause), daemon=True).start()
+        self.addCleanup(self.ended.set)
+
+    def most_in_a_window(self):
+        """Largest number of requests that ran within a window."""
+        times = self.run_times()
+        return max((sum(start <= at < start + WINDOW for at in times) for start in times), default=0)
+
+    # Guards against a workspace that nobody serves any more once the relays of the settings are lost for good.
+    def test_other_nodes_issue_when_no_relay_comes_back(self):
+        wait_until(lambda: "toucan/nodes" in self.store.items, 15)
+        for node in self.nodes:
+            node.process.kill()
+        for node in self.nodes:
+            node.process.wait()
+        relays = self.nodes[3].settings["relays"]
+        added = GatewayProcess(self.folder, self.store.address, "node-5",
+                               settings={"relays": relays, "relayListen": f"127.0.0.1:{free_port()}"})
+        self.addCleanup(added.stop)
+        back = [*self.nodes[3:], added]
+        self.restart(back, relays)
+        started = time.monotonic()
+        self.start_load(back, 0.05)
+        time.sleep(17)
+        self.ended.set()
+        used = self.used(started + 12, started + 17)
+        print(f"use {used:.3f} of the limit from 12 s on, most in a window {self.most_in_a_window()} of {BOUND}")
+        self.assertGreaterEqual(used, 0.25)
+        self.assertLessEqual(self.most_in_a_window(), BOUND)
+
+    # Guards against two sets of issuers where nodes were started with different lists of relays.
+    def test_nodes_with_other_settings_ask_the_same_relays(self):
+        time.sleep(2)
+        others = self.nodes[3:]
+        for node in others:
+            self.assertEqual(node.stop(), 0)
+        self.restart(others, [node.settings["relayListen"] for node in others])
+        self.start_load(self.nodes, 0.02)
+        time.sleep(8)
+        self.ended.set()
+        print(f"most in a window {self.most_in_a_window()} of {BOUND}")
+        self.assertLessEqual(self.most_in_a_window(), BOUND)
+        for node in others:
+            self.assertGreater(node.metrics()["toucan_gateway_quota_tokens_granted_total"], 0)
+
     # Guards against a refusal that an operator cannot trace, and against a key in a log.
     def test_refusals_leave_a_line_and_metrics(self):
         node = self.nodes[3]
--- a/Tests/Quota/TestQuota.cpp
+++ b/Tests/Quota/TestQuota.cpp
@@ -301,3 +301,44 @@
     request.asks.resize(maximumQuotaAsks + 1);
     CHECK_THROWS(Error, readQuotaRequest(writeQuotaRequest(request)));
 }
+
+// Guards against a successor that gives out again what its predecessor may have issued.
+TEST(Quota, SuccessorBeginsWithoutTokens)
+{
+    QuotaIssuer issuer({ "a", {}, 3 }, this->issuerHooks());
+    issuer.setShare(0);
+    issuer.setRules(1, rules(10, 5));
+    issuer.succeed();
+    issuer.setShare(0.5);
+    auto taken = take(issuer, 100);
+    CHECK_EQUAL(0, taken);
+    issuer.setRules(2, std::vector<NamedQuota> { { "l", { 10, 5 } }, { "new", { 10, 5 } } });
+    this->now = 600_ms;
+    taken = take(issuer, 100);
+    CHECK_EQUAL(3, taken);
+    issuer.handle({ 1, "n", true, { { "new", 100, 0, 1 } } },
+        [&taken](QuotaAnswer&& answer) { taken = answer.grants.front().tokens; });
+    CHECK_EQUAL(3, taken);
+    // A smaller share cuts the content at once.
+    this->now = 60000_ms;
+    issuer.setShare(0);
+    taken = take(issuer, 100);
+    CHECK_EQUAL(0, taken);
+}
+
+// Guards against requests that wait for a relay that was replaced, and against its late answer.
+TEST(Quota, WaitingRequestsAskTheNewRelays)
+{
+    QuotaClient client({ "n", { "old" } }, this->clientHooks());
+    client.setRules(1, rules(10, 5));
+    this->wait(client);
+    CHECK_EQUAL(1, this->asked.size());
+    client.setRelays({ "new-1", "new-2" });
+    CHECK_EQUAL(2, this->asked.size());
+    CHECK(this->asked[1].first.starts_with("new-"));
+    this->answers[0](grant(1));
+    CHECK_EQUAL(0, this->results.size());
+    this->answers[1](grant(1));
+    CHECK_EQUAL(1, this->results.size());
+    CHECK(this->results[0].kind == QuotaResult::Kind::Granted);
+}
