Confirm a list of relays with the read that holds it, and hear nodes over all relays

Cause: a relay applied the list of relays that it had just read before it recorded that the registry had confirmed it, took itself for a relay in doubt for 3 ms (issuing-share 0.333, 0.006, 0.333) and cut its buckets to that part. Besides, a relay in doubt counted only the nodes that follow itself, a third of the fleet. Change: the read is recorded first. Relays tell each other which nodes they heard within 2 s, and forget them 6 s after that at the latest.

--- a/Libraries/Gateway/NodeCounter.cpp
+++ b/Libraries/Gateway/NodeCounter.cpp
@@ -56,7 +56,7 @@
 NodeReport NodeCounter::report(std::string const& name, Milliseconds now)
 {
     this->removeAbsent(now);
-    NodeReport report { name, {}, this->isComplete(now) };
+    NodeReport report { name, {}, this->isComplete(now), {} };
     for (auto const& [node, at] : this->lastSeen)
         report.nodes.push_back(node);
     return report;
--- a/Libraries/Gateway/RegistrySync.cpp
+++ b/Libraries/Gateway/RegistrySync.cpp
@@ -286,9 +286,9 @@
         relay->followers = update.followers;
         // The followers of this relay must not take its state for more recent than the other relay's.
         this->lastContactAt = std::max(this->lastContactAt, this->now() - update.age);
-        this->applyChanges(std::move(update.events), update.position);
         if (update.confirmedAge)
             this->onConfirmed(askedAt - *update.confirmedAge);
+        this->applyChanges(std::move(update.events), update.position);
     } else {
         relay->blockedUntil = this->now() + relayBlockTime;
     }
@@ -345,9 +345,10 @@
     this->onConnected();
     this->confirmed = this->confirmed || freshness == Freshness::Latest;
     this->staleCopy.reset();
-    this->applySnapshot(std::move(reply.events), reply.position);
+    // Before the changes, so that a roster among them counts as confirmed.
     if (freshness == Freshness::Latest)
         this->onConfirmed(askedAt);
+    this->applySnapshot(std::move(reply.events), reply.position);
     // A follower asks its relay for the configuration with its first request.
     if (first && this->isRelay && this->position.era > 0)
         this->requestNewerConfiguration();
@@ -414,8 +415,8 @@
     this->confirmed = true;
     this->onConnected();
     bool const changed = !reply.events.empty();
-    this->applyChanges(std::move(reply.events), reply.position);
     this->onConfirmed(askedAt);
+    this->applyChanges(std::move(reply.events), reply.position);
     if (changed)
         this->context.hooks.schedule(this->now() + changePause, [this] { this->waitForChanges(); });
     else
@@ -467,9 +468,9 @@
         this->confirmed = true;
         this->followedAt = this->now() - update.age;
         this->onConnected();
-        this->applyChanges(std::move(update.events), update.position);
         if (update.confirmedAge)
             this->onConfirmed(askedAt - *update.confirmedAge);
+        this->applyChanges(std::move(update.events), update.position);
         this->waitForChanges();
         return;
     }
--- a/Libraries/GatewayNode/GatewayServer.cpp
+++ b/Libraries/GatewayNode/GatewayServer.cpp
@@ -80,7 +80,7 @@
     , randomEngine(std::random_device {}())
     , succession({ this->settings.relayListen, this->settings.relays,
           [this] { return std::uniform_real_distribution<double>(0, 1)(this->randomEngine); } })
-    , issuing({ this->settings.relayListen, this->settings.relays, Clock::bootTime() })
+    , issuing({ this->settings.relayListen, this->settings.relays, Clock::bootTime(), this->settings.name })
     , quotaIssuer(this->createQuotaIssuer())
     , quota({ this->settings.name, this->settings.relays, this->settings.workspaceLimits }, this->createQuotaHooks())
     , gateway({ .failureDomain = this->settings.failureDomain,
@@ -176,6 +176,7 @@
         if (!address.empty())
             this->succession.onFollower(address, Clock::now());
     };
+    relayHooks.heard = [this](std::span<uint32_t const> nodes) { this->issuing.onReport(nodes, Clock::bootTime()); };
     relayHooks.answerProbe
         = [this](IssuingShare::Asker asker) { return this->issuing.answerProbe(asker, Clock::bootTime()); };
     return relayHooks;
@@ -241,10 +242,12 @@
     auto const counted = nodes.count(now);
     this->registry.updateNodes(counted);
     this->registry.storeNodes(counted, this->isFirstRunningRelay(now));
+    auto report = nodes.report(this->settings.name, now);
+    if (this->succession.roster())
+        report.heard = this->issuing.recentlyHeard(Clock::bootTime());
     for (auto const& relay : this->succession.relays()) {
         if (relay != this->settings.relayListen)
-            this->relayClient.reportNodes(relay, nodes.report(this->settings.name, now),
-                [this, relay] { this->relayHeardAt[relay] = Clock::now(); });
+            this->relayClient.reportNodes(relay, report, [this, relay] { this->relayHeardAt[relay] = Clock::now(); });
     }
     this->loop.schedule(now + nodeReportPeriod, [this] { this->countNodes(); });
 }
--- a/Libraries/GatewayNode/RelayCodec.cpp
+++ b/Libraries/GatewayNode/RelayCodec.cpp
@@ -178,6 +178,8 @@
     body["nodes"] = Json::Value(Json::arrayValue);
     for (auto const node : report.nodes)
         body["nodes"].append(node);
+    for (auto const node : report.heard)
+        body["heard"].append(node);
     return writeJson(body);
 }
 
@@ -189,12 +191,17 @@
     if (!valid)
         throw Error(
             ErrorKind::InvalidInput, "The body lacks relay, nodes or complete", "Run the same version on all nodes");
-    NodeReport report { document["relay"].asString(), {}, document["complete"].asBool() };
-    for (auto const& node : document["nodes"]) {
-        if (!node.isUInt())
-            throw Error(ErrorKind::InvalidInput, "A node is not a number", "Run the same version on all nodes");
-        report.nodes.push_back(node.asUInt());
-    }
+    NodeReport report { document["relay"].asString(), {}, document["complete"].asBool(), {} };
+    auto const readNodes = [](Json::Value const& array, std::vector<uint32_t>& nodes) {
+        for (auto const& node : array) {
+            if (!node.isUInt())
+                throw Error(ErrorKind::InvalidInput, "A node is not a number", "Run the same version on all nodes");
+            nodes.push_back(node.asUInt());
+        }
+    };
+    readNodes(document["nodes"], report.nodes);
+    if (document["heard"].isArray())
+        readNodes(document["heard"], report.heard);
     return report;
 }
 
--- a/Libraries/GatewayNode/RelayServer.cpp
+++ b/Libraries/GatewayNode/RelayServer.cpp
@@ -167,7 +167,10 @@
 
 void RelayServer::handleNodeReport(HttpServerSession::Pointer const& session, HttpServerRequest const& request)
 {
-    this->nodeCounter.onReport(readNodeReport(request.body), Clock::now());
+    auto const report = readNodeReport(request.body);
+    this->nodeCounter.onReport(report, Clock::now());
+    if (this->hooks.heard)
+        this->hooks.heard(report.heard);
     HTTPResponse head(HTTPResponse::HTTP_OK);
     session->respond(head, "");
 }
--- a/Libraries/GatewayNode/RelayServer.h
+++ b/Libraries/GatewayNode/RelayServer.h
@@ -53,6 +53,8 @@
         std::function<bool(QuotaRequest const&, std::function<void(QuotaAnswer&&)> done)> quota {};
         /// A node has asked for changes; its address is empty when it states none. May be empty.
         std::function<void(std::string const& node, std::string const& address)> followed {};
+        /// Another relay has heard these nodes. May be empty.
+        std::function<void(std::span<uint32_t const>)> heard {};
         /// The answer to statusPath.
         std::function<bool(IssuingShare::Asker)> answerProbe {};
     };
--- a/Libraries/Succession/IssuingShare.cpp
+++ b/Libraries/Succession/IssuingShare.cpp
@@ -1,5 +1,7 @@
 #include "Succession/IssuingShare.h"
 
+#include "Base/Hash.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -7,6 +9,9 @@
 
 /// A node asks a relay at least each second, and during an outage of the registry each relay every few seconds.
 constexpr Milliseconds heardTime { 6000 };
+/// Nodes that a relay has heard within this time are reported to the others, which forget them heardTime after that at
+/// the latest.
+constexpr Milliseconds reportedHeardTime { 2000 };
 /// A relay that the registry has not confirmed for longer may be replaced by nodes that reach the registry.
 constexpr Milliseconds longestUnconfirmed { 10000 };
 
@@ -49,10 +54,36 @@
     return !isReplaceable;
 }
 
+void IssuingShare::onNodeHeard(std::string_view node, Milliseconds now)
+{
+    this->heardAt[static_cast<uint32_t>(hash64(node))] = now;
+}
+
+void IssuingShare::onReport(std::span<uint32_t const> nodes, Milliseconds now)
+{
+    for (auto const node : nodes)
+        this->reportedAt[node] = now;
+}
+
+std::vector<uint32_t> IssuingShare::recentlyHeard(Milliseconds now) const
+{
+    std::vector<uint32_t> nodes;
+    for (auto const& [node, at] : this->heardAt) {
+        if (now - at <= reportedHeardTime)
+            nodes.push_back(node);
+    }
+    return nodes;
+}
+
 uint32_t IssuingShare::heard(Milliseconds now)
 {
     std::erase_if(this->heardAt, [now](auto const& entry) { return now - entry.second > heardTime; });
-    return static_cast<uint32_t>(this->heardAt.size()) + 1;
+    std::erase_if(
+        this->reportedAt, [now](auto const& entry) { return now - entry.second > heardTime - reportedHeardTime; });
+    auto nodes = this->reportedAt;
+    nodes.insert(this->heardAt.begin(), this->heardAt.end());
+    nodes[static_cast<uint32_t>(hash64(this->options.name))] = now;
+    return static_cast<uint32_t>(nodes.size());
 }
 
 double IssuingShare::share(uint32_t nodes, Milliseconds now)
--- a/Libraries/Succession/IssuingShare.h
+++ b/Libraries/Succession/IssuingShare.h
@@ -6,7 +6,9 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <span>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -29,6 +31,8 @@
         /// Relays by the settings, in force while there is no roster.
         std::vector<std::string> configured;
         Milliseconds startedAt {};
+        /// Name under which other nodes hear this one.
+        std::string name {};
     };
 
     explicit IssuingShare(Options options);
@@ -47,7 +51,11 @@
     /// registry answers others, is to be replaced: it answers no, and issues nothing until it is confirmed.
     bool answerProbe(Asker asker, Milliseconds now);
     /// Another node has asked this one for changes or tokens.
-    void onNodeHeard(std::string const& node, Milliseconds now) { this->heardAt[node] = now; }
+    void onNodeHeard(std::string_view node, Milliseconds now);
+    /// Another relay has heard these nodes, recentlyHeard().
+    void onReport(std::span<uint32_t const> nodes, Milliseconds now);
+    /// Hashes of the nodes that this one has heard itself within the last seconds, for the other relays.
+    std::vector<uint32_t> recentlyHeard(Milliseconds now) const;
 
     /// Between 0 and 1. `nodes` is an upper estimate of the number of nodes, 0 when it is not known.
     double share(uint32_t nodes, Milliseconds now);
@@ -57,7 +65,7 @@
     std::optional<Milliseconds> confirmedAge(Milliseconds now) const;
 
 private:
-    /// Nodes heard recently, with this one.
+    /// Number of nodes that this one or another relay has heard, with this one.
     uint32_t heard(Milliseconds now);
 
     Options options;
@@ -68,8 +76,9 @@
     std::map<size_t, Milliseconds> takenAt;
     /// Number of nodes while the roster was confirmed.
     uint32_t knownNodes { 0 };
-    /// By name.
-    std::unordered_map<std::string, Milliseconds> heardAt;
+    /// By the hash of the name.
+    std::unordered_map<uint32_t, Milliseconds> heardAt;
+    std::unordered_map<uint32_t, Milliseconds> reportedAt;
 };
 
 } // namespace Toucan
--- a/Tests/Gateway/TestRegistrySync.cpp
+++ b/Tests/Gateway/TestRegistrySync.cpp
@@ -689,6 +689,22 @@
     LONGS_EQUAL(1, targets());
 }
 
+// Guards against a relay that cuts its tokens at its start, because it takes the list of relays that it has just read for
+// one that the registry has not confirmed.
+TEST(RegistrySync, RosterIsConfirmedByTheReadThatHoldsIt)
+{
+    std::vector<std::string> calls;
+    auto recording = hooks();
+    recording.confirmed = [&calls](Milliseconds) { calls.emplace_back("confirmed"); };
+    recording.rosterRead
+        = [&calls](std::optional<RelayRoster> const& roster, uint64_t) { calls.push_back(roster ? "roster" : "none"); };
+    RegistrySync node { fixture.gateway, { { "relay-1" }, "relay-1", "relay-1" }, recording };
+    node.start();
+    lists.back()(reply(5, { RosterPut { RelayRoster { 1, { "relay-1" } }, {} } }));
+    watches.back().second(reply(6, { RosterPut { RelayRoster { 2, { "relay-1" } }, {} } }));
+    CHECK(calls == (std::vector<std::string> { "confirmed", "roster", "confirmed", "roster" }));
+}
+
 TEST_GROUP(RegistryRelay)
 {
     RegistryRelay relay;
--- a/Tests/Succession/SuccessionWorld.h
+++ b/Tests/Succession/SuccessionWorld.h
@@ -63,8 +63,8 @@
         node.knownNodes = 0;
         node.succession = std::make_unique<RelaySuccession>(
             RelaySuccession::Options { node.address, node.configured, [this] { return this->uniform(); } });
-        node.issuing
-            = std::make_unique<IssuingShare>(IssuingShare::Options { node.address, node.configured, this->now });
+        node.issuing = std::make_unique<IssuingShare>(
+            IssuingShare::Options { node.address, node.configured, this->now, node.address });
     }
 
     void run(Milliseconds time)
@@ -150,6 +150,12 @@
                     this->copy(*relay, node);
             }
         }
+        if (node.succession->isRelay() && static_cast<int64_t>(node.steady.value) % 1000 == 0) {
+            for (auto const& address : node.succession->relays()) {
+                if (auto* const relay = this->find(address); relay != &node && this->reaches(node, relay))
+                    relay->issuing->onReport(node.issuing->recentlyHeard(this->now), this->now);
+            }
+        }
         if (hasRelay)
             node.followedAt = node.steady;
         if (connected) {
