Tell an outage of the registry from a cut of one relay

Cause: the first answer after a failed call counted as the end of an outage of the registry. Removals were deferred by 2.2 s then, at the relay that had lost its own path and at all nodes that follow it. Ruled out: the delay until the relay hears of the removal from another one (at most 1.56 s); use after the removal. Change: RegistryContact keeps since when the registry has answered this node or others without a gap, and relays state it. A relay that returns asks the others; contact over the whole loss refutes the outage and releases deferred removals. A follower compares its relay's word with its own contact. Without evidence a loss still counts as an outage. RemovalAfterAnOwnCutIsNotDeferred and FollowerDoesNotTakeTheCutOfItsRelayForAnOutage fail on the code before and pass.

--- a/Libraries/Gateway/RegistryRelay.cpp
+++ b/Libraries/Gateway/RegistryRelay.cpp
@@ -58,6 +58,11 @@
         this->storeEntry(event);
     this->logStartRevision = position.revision;
     this->last = position;
+    this->wake();
+}
+
+void RegistryRelay::wake()
+{
     for (auto const& [number, waiter] : std::exchange(this->waiters, {}))
         waiter();
 }
@@ -91,10 +96,8 @@
         this->logStartRevision = this->log.front().revision;
         this->log.pop_front();
     }
-    if (!changed)
-        return;
-    for (auto const& [number, waiter] : std::exchange(this->waiters, {}))
-        waiter();
+    if (changed)
+        this->wake();
 }
 
 RelayUpdate RegistryRelay::changesAfter(RegistryPosition position, std::optional<uint64_t> configuration) const
--- a/Libraries/Gateway/RegistryRelay.h
+++ b/Libraries/Gateway/RegistryRelay.h
@@ -25,6 +25,9 @@
     Milliseconds age;
     /// Time since the end of the last outage of the registry; set only while it is recent.
     std::optional<Milliseconds> outageEnded;
+    /// Time for which the registry has answered the sender, or others to its knowledge, without a gap; empty from a
+    /// node of the version before.
+    std::optional<Milliseconds> connectedFor {};
     std::string failureDomain;
     /// Age of the last answer of the registry to the sender, counted from the call and with the time for which the
     /// sender was suspended; set only while the registry holds a roster of relays.
@@ -81,6 +84,8 @@
 
     /// Calls `waiter` once, at the next change. Returns a number for cancelWait().
     uint64_t waitForChange(Waiter waiter);
+    /// Calls all waiters, for news of another kind.
+    void wake();
     void cancelWait(uint64_t number) { this->waiters.erase(number); }
 
 private:
--- a/Libraries/Gateway/RegistrySync.cpp
+++ b/Libraries/Gateway/RegistrySync.cpp
@@ -34,7 +34,7 @@
 constexpr Milliseconds relayBlockTime { 3000 };
 /// Grace period for registrations that expired in an outage: a live target renews its registration within 2 s of the
 /// end of the outage.
-constexpr Milliseconds expiredEntryGrace = TargetDirectory::restorationGrace;
+constexpr Milliseconds expiredEntryGrace = RegistryContact::grace;
 
 RegistrySync::RegistrySync(Gateway& gateway, Topology topology, Hooks hooks)
     : gateway(gateway)
@@ -286,6 +286,7 @@
         relay->followers = update.followers;
         // The followers of this relay must not take its state for more recent than the other relay's.
         this->lastContactAt = std::max(this->lastContactAt, this->now() - update.age);
+        this->applyContactOf(update);
         if (update.confirmedAge)
             this->onConfirmed(askedAt - *update.confirmedAge);
         this->applyChanges(std::move(update.events), update.position);
@@ -343,6 +344,9 @@
     bool const first = !this->loaded;
     this->lastContactAt = this->now();
     this->onConnected();
+    // A read that may be seconds old does not show that the registry answers now.
+    if (freshness == Freshness::Latest)
+        this->onAnswered();
     this->confirmed = this->confirmed || freshness == Freshness::Latest;
     this->staleCopy.reset();
     // Before the changes, so that a roster among them counts as confirmed.
@@ -386,6 +390,7 @@
             { "era", std::to_string(update.position.era) },
             { "age_ms", std::to_string(static_cast<int64_t>(update.age.value)) } });
     this->lastContactAt = this->now() - update.age;
+    this->applyContactOf(update);
     this->applySnapshot(std::move(update.events), update.position);
     this->retryLater(&RegistrySync::watch);
 }
@@ -414,6 +419,7 @@
     this->lastContactAt = this->now();
     this->confirmed = true;
     this->onConnected();
+    this->onAnswered();
     bool const changed = !reply.events.empty();
     this->onConfirmed(askedAt);
     this->applyChanges(std::move(reply.events), reply.position);
@@ -463,8 +469,7 @@
     if (this->isUsable(update)) {
         relay.failureDomain = update.failureDomain;
         relay.staleness = update.age;
-        if (update.outageEnded)
-            this->outageEndedAt = this->now() - *update.outageEnded;
+        this->applyContactOf(update);
         this->confirmed = true;
         this->followedAt = this->now() - update.age;
         this->onConnected();
@@ -501,13 +506,16 @@
     update.followers = this->followers;
     if (this->hooks.confirmedAge)
         update.confirmedAge = this->hooks.confirmedAge();
-    if (this->outageEndedAt && now - *this->outageEndedAt < expiredEntryGrace)
-        update.outageEnded = now - *this->outageEndedAt;
+    if (auto const ended = this->contact.outageEndedAt(); ended && now - *ended < expiredEntryGrace)
+        update.outageEnded = now - *ended;
+    if (auto const since = this->contact.since())
+        update.connectedFor = now - *since;
 }
 
 void RegistrySync::onFailure(std::string const& reason, std::string_view call)
 {
     ++this->failures;
+    this->contact.onFailed();
     this->context.metrics.count("registry_failures");
     if (!this->connected && this->failures > 1)
         return;
@@ -522,14 +530,62 @@
     if (this->connected)
         return;
     this->connected = true;
-    if (this->loaded)
-        this->outageEndedAt = this->now();
     this->context.log.line(this->loaded ? "registry-regained" : "registry-connected",
         { { "failures", std::to_string(this->failures) }, { "revision", std::to_string(this->position.revision) } },
         DecisionLog::Delivery::Always);
     this->failures = 0;
 }
 
+void RegistrySync::onAnswered() { this->applyVerdict(this->contact.onAnswered(this->now()), {}, "own call"); }
+
+void RegistrySync::applyContactOf(RelayUpdate const& update)
+{
+    auto const now = this->now();
+    auto const until = now - update.age;
+    auto const ended = update.outageEnded ? std::optional(now - *update.outageEnded) : std::nullopt;
+    // A relay of the version before states only the end of an outage.
+    auto const from = update.connectedFor ? now - *update.connectedFor
+                                          : ended.value_or(std::min(this->contact.last().value_or(until), until));
+    auto const before = this->contact.outageEndedAt();
+    this->applyVerdict(this->contact.onSpan({ from, until }, ended), before, "another relay");
+}
+
+void RegistrySync::applyVerdict(
+    RegistryContact::Verdict verdict, std::optional<Milliseconds> endedBefore, std::string_view evidence)
+{
+    if (verdict == RegistryContact::Verdict::Unchanged)
+        return;
+    bool const isOutage = verdict == RegistryContact::Verdict::Outage;
+    this->context.metrics.count(isOutage ? "registry_outages" : "registry_outages_refuted");
+    auto const ended = isOutage ? this->contact.outageEndedAt() : endedBefore;
+    this->context.log.line(isOutage ? "registry-outage" : "registry-outage-refuted",
+        { { "evidence", std::string(evidence) },
+            { "ended_ms", ended ? std::to_string(static_cast<int64_t>((this->now() - *ended).value)) : "" } },
+        DecisionLog::Delivery::Always);
+    if (isOutage) {
+        if (this->isRelay)
+            this->verifyOutage();
+        return;
+    }
+    if (endedBefore)
+        this->context.directory.releaseDeferred(*endedBefore + expiredEntryGrace, this->now());
+    this->scheduleExpiry();
+    // Followers took this relay's word for the outage.
+    this->registryRelay.wake();
+}
+
+void RegistrySync::verifyOutage()
+{
+    for (auto const& relay : this->relays) {
+        this->hooks.follow(relay->address, this->requestTo(*relay, {}), [this](RelayUpdate&& update) {
+            bool const isRecent = update.status == RegistryStatus::Ok && update.age <= maximumStaleness
+                && update.position.era == this->position.era;
+            if (isRecent)
+                this->applyContactOf(update);
+        });
+    }
+}
+
 void RegistrySync::retryLater(void (RegistrySync::*call)())
 {
     auto const exponent = std::clamp(this->failures, 1U, 10U) - 1;
@@ -542,13 +598,15 @@
 
 TargetDirectory::Removal RegistrySync::removal() const
 {
-    bool const afterOutage = this->outageEndedAt && this->now() - *this->outageEndedAt < expiredEntryGrace;
+    auto const ended = this->contact.outageEndedAt();
+    bool const afterOutage = ended && this->now() - *ended < expiredEntryGrace;
     return afterOutage ? TargetDirectory::Removal::Deferred : TargetDirectory::Removal::AtOnce;
 }
 
 Milliseconds RegistrySync::keepUntil() const
 {
-    return this->outageEndedAt ? *this->outageEndedAt + expiredEntryGrace : this->now();
+    auto const ended = this->contact.outageEndedAt();
+    return ended ? *ended + expiredEntryGrace : this->now();
 }
 
 void RegistrySync::logUnusable(UnusableEntry const& entry)
@@ -598,7 +656,7 @@
 {
     if (this->loaded && read.era != this->position.era) {
         // What was written after the older copy is gone, and live targets register again as after an outage.
-        this->outageEndedAt = this->now();
+        this->contact.onRestored(this->now());
         this->context.metrics.count("registry_restorations");
         this->context.log.line("registry-restored",
             { { "era", std::to_string(read.era) }, { "before", std::to_string(this->position.era) },
--- a/Libraries/Gateway/RegistrySync.h
+++ b/Libraries/Gateway/RegistrySync.h
@@ -3,6 +3,7 @@
 #include "FleetStart/ExtraAttemptAllowance.h"
 #include "FleetStart/StoredNodeCount.h"
 #include "Gateway/Gateway.h"
+#include "Gateway/RegistryContact.h"
 #include "Gateway/RegistryEvent.h"
 #include "Gateway/RegistryRelay.h"
 #include "Succession/RelaySuccession.h"
@@ -159,6 +160,15 @@
     void applyChanges(std::vector<RegistryEvent>&& events, RegistryPosition reached);
     void onFailure(std::string const& reason, std::string_view call);
     void onConnected();
+    /// The registry has answered a call of this node.
+    void onAnswered();
+    /// Applies what a relay states of its contact to the registry.
+    void applyContactOf(RelayUpdate const& update);
+    /// `endedBefore`: end of the outage that was assumed before.
+    void applyVerdict(
+        RegistryContact::Verdict verdict, std::optional<Milliseconds> endedBefore, std::string_view evidence);
+    /// Asks the other relays whether the registry has answered them during what this relay takes for an outage.
+    void verifyOutage();
     void retryLater(void (RegistrySync::*call)());
     void logUnusable(UnusableEntry const& entry);
     void applyNodeCount(std::string const& key, NodeCountPut const& put);
@@ -205,8 +215,7 @@
     Milliseconds lastContactAt;
     /// Time as of which a relay confirmed the state that this node follows.
     Milliseconds followedAt;
-    /// End of the last outage of the registry that this node or its relay observed.
-    std::optional<Milliseconds> outageEndedAt;
+    RegistryContact contact;
 };
 
 } // namespace Toucan
--- a/Libraries/Gateway/TargetDirectory.cpp
+++ b/Libraries/Gateway/TargetDirectory.cpp
@@ -297,6 +297,16 @@
         this->remove(id, removal, keepUntil);
 }
 
+void TargetDirectory::releaseDeferred(Milliseconds keepUntil, Milliseconds now)
+{
+    for (auto* const deferredRemovals : { &this->deferred, &this->deferredEvacuations }) {
+        for (auto& [name, at] : *deferredRemovals) {
+            if (at == keepUntil)
+                at = now;
+        }
+    }
+}
+
 std::optional<Milliseconds> TargetDirectory::expire(Milliseconds now)
 {
     std::optional<Milliseconds> next;
--- a/Libraries/Gateway/TargetDirectory.h
+++ b/Libraries/Gateway/TargetDirectory.h
@@ -62,6 +62,8 @@
     /// Removes the deferred entries that are due, and ends the deferred evacuations. Returns when to call again; empty
     /// when no removal is deferred.
     std::optional<Milliseconds> expire(Milliseconds now);
+    /// Makes the removals due at once that were deferred until `keepUntil`: no outage was the reason of them.
+    void releaseDeferred(Milliseconds keepUntil, Milliseconds now);
 
     /// Nothing more may be sent to targets of the failure domain until endEvacuation().
     void evacuate(std::string const& evacuatedDomain);
--- a/Libraries/GatewayNode/RelayCodec.cpp
+++ b/Libraries/GatewayNode/RelayCodec.cpp
@@ -263,6 +263,8 @@
     body["ageMs"] = wholeMilliseconds(update.age);
     if (update.outageEnded)
         body["outageEndedMs"] = wholeMilliseconds(*update.outageEnded);
+    if (update.connectedFor)
+        body["connectedMs"] = wholeMilliseconds(*update.connectedFor);
     body["failureDomain"] = update.failureDomain;
     if (update.confirmedAge)
         body["confirmedMs"] = wholeMilliseconds(*update.confirmedAge);
@@ -341,6 +343,8 @@
     update.age = { document["ageMs"].asDouble() };
     if (document["outageEndedMs"].isUInt64())
         update.outageEnded = Milliseconds { document["outageEndedMs"].asDouble() };
+    if (document["connectedMs"].isUInt64())
+        update.connectedFor = Milliseconds { document["connectedMs"].asDouble() };
     update.failureDomain = document["failureDomain"].asString();
     // Rounded down by the sender.
     if (document["confirmedMs"].isUInt64())
--- a/Tests/Gateway/TestRegistrySync.cpp
+++ b/Tests/Gateway/TestRegistrySync.cpp
@@ -89,6 +89,12 @@
         auto const found = fixture.gateway.sharedContext().directory.find(id);
         return found ? found->registration().incarnation : 0;
     }
+    /// The same of a relay that the registry has answered for so long.
+    static RelayUpdate connected(RelayUpdate update, Milliseconds connectedFor)
+    {
+        update.connectedFor = connectedFor;
+        return update;
+    }
     static RelayUpdate failedUpdate(RegistryStatus status)
     {
         RelayUpdate result;
@@ -689,8 +695,91 @@
     LONGS_EQUAL(1, targets());
 }
 
-// Guards against a relay that cuts its tokens at its start, because it takes the list of relays that it has just read for
-// one that the registry has not confirmed.
+// Guards against a removal that is applied late because a relay takes the return of its own path to the registry for
+// the end of an outage: the registry has answered another relay all the time.
+TEST(RegistrySync, RemovalAfterAnOwnCutIsNotDeferred)
+{
+    relay.start();
+    lists.at(0)(reply(5, { target("t1"), target("t2") }));
+    fixture.advance(60000_ms);
+    watches.at(0).second(reply(5, {}));
+    watches.at(1).second(failure());
+    follows.at(0).second(connected(update(5, {}, 300_ms), 70000_ms));
+    fixture.advance(1500_ms);
+    watches.at(2).second(failure());
+    follows.at(1).second(connected(update(5, {}, 300_ms), 71500_ms));
+    fixture.advance(2000_ms);
+    watches.at(3).second(reply(8, { TargetRemoved { "t1" } }));
+    // The other relay is asked before the removal counts.
+    LONGS_EQUAL(2, targets());
+    follows.back().second(connected(update(8, {}, 100_ms), 75000_ms));
+    LONGS_EQUAL(1, targets());
+    CHECK(logged("registry-outage-refuted"));
+    RelayUpdate described;
+    relay.addRelayStatus(described);
+    CHECK_FALSE(described.outageEnded.has_value());
+    CHECK(*described.connectedFor >= 60000_ms);
+}
+
+// Guards against the loss of targets of which the entries lapsed in an outage of the registry: no relay was answered.
+TEST(RegistrySync, RemovalAfterAnOutageOfAllRelaysIsDeferred)
+{
+    relay.start();
+    lists.at(0)(reply(5, { target("t1"), target("t2") }));
+    fixture.advance(60000_ms);
+    watches.at(0).second(reply(5, {}));
+    watches.at(1).second(failure());
+    follows.at(0).second(failedUpdate(RegistryStatus::Failed));
+    fixture.advance(5000_ms);
+    watches.at(2).second(reply(8, { TargetRemoved { "t1" }, TargetRemoved { "t2" } }));
+    follows.back().second(connected(update(8, {}, 100_ms), 400_ms));
+    LONGS_EQUAL(2, targets());
+    fixture.advance(300_ms);
+    watches.at(3).second(reply(9, { target("t1") }));
+    fixture.advance(3000_ms);
+    LONGS_EQUAL(1, targets());
+}
+
+// Guards against a follower that believes in an outage of the registry that only its relay has seen.
+TEST(RegistrySync, FollowerDoesNotTakeTheCutOfItsRelayForAnOutage)
+{
+    follower.start();
+    lists.at(0)(reply(5, { target("t1"), target("t2") }));
+    follows.at(0).second(connected(update(5, {}, 100_ms), 60000_ms));
+    follows.at(1).second(failedUpdate(RegistryStatus::Failed));
+    watches.at(0).second(reply(6, {}));
+    fixture.advance(900_ms);
+    // The follower has watched the registry until shortly before the relay was answered again.
+    auto received = connected(update(8, { TargetRemoved { "t1" } }, 50_ms), 100_ms);
+    received.outageEnded = 100_ms;
+    follows.at(2).second(std::move(received));
+    LONGS_EQUAL(1, targets());
+    // After a longer time without any contact, it can't know better.
+    fixture.advance(5000_ms);
+    received = connected(update(9, { TargetRemoved { "t2" } }, 50_ms), 100_ms);
+    received.outageEnded = 100_ms;
+    follows.at(3).second(std::move(received));
+    LONGS_EQUAL(1, targets());
+}
+
+// Guards against a refuted outage that also ends the grace period after a restoration.
+TEST(RegistrySync, RestorationIsNotRefuted)
+{
+    relay.start();
+    lists.at(0)(reply(5, { target("t1"), target("t2") }));
+    fixture.advance(60000_ms);
+    watches.at(0).second(ofEra(1, reply(4, {})));
+    lists.at(1)(ofEra(1, reply(4, { target("t1") })));
+    copies.clear();
+    watches.at(1).second(failure());
+    follows.at(0).second(ofEra(1, connected(update(4, {}, 100_ms), 70000_ms)));
+    LONGS_EQUAL(2, targets());
+    fixture.advance(3000_ms);
+    LONGS_EQUAL(1, targets());
+}
+
+// Guards against a relay that cuts its tokens at its start, because it takes the list of relays that it has just read
+// for one that the registry has not confirmed.
 TEST(RegistrySync, RosterIsConfirmedByTheReadThatHoldsIt)
 {
     std::vector<std::string> calls;
@@ -705,6 +794,65 @@
     CHECK(calls == (std::vector<std::string> { "confirmed", "roster", "confirmed", "roster" }));
 }
 
+TEST_GROUP(RegistryContact)
+{
+    using Verdict = RegistryContact::Verdict;
+    RegistryContact contact;
+
+    void setup() override
+    {
+        contact.onAnswered(0_ms);
+        contact.onAnswered(10000_ms);
+    }
+};
+
+// Guards against an outage that is seen where calls were answered, only seldom.
+TEST(RegistryContact, TimeWithoutCallsIsNoOutage)
+{
+    CHECK(contact.onAnswered(15000_ms) == Verdict::Unchanged);
+    CHECK(contact.onSpan({ 15500_ms, 16000_ms }) == Verdict::Unchanged);
+    CHECK_FALSE(contact.outageEndedAt().has_value());
+}
+
+// Guards against evidence that covers a part of the time only, or is of after it.
+TEST(RegistryContact, OnlyContactOverTheWholeTimeRefutes)
+{
+    contact.onFailed();
+    CHECK(contact.onAnswered(16000_ms) == Verdict::Outage);
+    CHECK(contact.onSpan({ 10100_ms, 16000_ms }) == Verdict::Unchanged);
+    DOUBLES_EQUAL(16000, contact.outageEndedAt()->value, 0);
+    CHECK(contact.onSpan({ 9000_ms, 16000_ms }) == Verdict::Refuted);
+    CHECK_FALSE(contact.outageEndedAt().has_value());
+    DOUBLES_EQUAL(0, contact.since()->value, 0);
+}
+
+// Guards against a second loss that makes the first one, of which removals still wait, look refuted.
+TEST(RegistryContact, EvidenceMustCoverAnEarlierOutageAsWell)
+{
+    contact.onFailed();
+    contact.onAnswered(16000_ms);
+    contact.onFailed();
+    contact.onAnswered(17000_ms);
+    CHECK(contact.onSpan({ 15000_ms, 17000_ms }) == Verdict::Unchanged);
+    CHECK(contact.onSpan({ 9500_ms, 17000_ms }) == Verdict::Refuted);
+    // One that is long over does not matter.
+    contact.onFailed();
+    contact.onAnswered(30000_ms);
+    contact.onFailed();
+    contact.onAnswered(40000_ms);
+    CHECK(contact.onSpan({ 29000_ms, 40000_ms }) == Verdict::Refuted);
+}
+
+// Guards against the contact of others that ends an outage of this node's own path before it has ended.
+TEST(RegistryContact, ContactOfOthersDuringACut)
+{
+    contact.onFailed();
+    CHECK(contact.onSpan({ 2000_ms, 12000_ms }) == Verdict::Unchanged);
+    DOUBLES_EQUAL(12000, contact.last()->value, 0);
+    CHECK(contact.onAnswered(13000_ms) == Verdict::Outage);
+    CHECK(contact.onSpan({ 2000_ms, 13000_ms }) == Verdict::Refuted);
+}
+
 TEST_GROUP(RegistryRelay)
 {
     RegistryRelay relay;
