--- a/Libraries/Gateway/NodeCounter.h
+++ b/Libraries/Gateway/NodeCounter.h
@@ -20,8 +20,8 @@
     std::vector<uint32_t> nodes;
     /// Whether all nodes that follow the relay have had time to come since it started.
     bool isComplete { true };
-    /// Nodes that the relay has heard within the last seconds, IssuingShare::recentlyHeard(); left out while the registry
-    /// holds no roster of relays.
+    /// Nodes that the relay has heard within the last seconds, IssuingShare::recentlyHeard(); left out while the
+    /// registry holds no roster of relays.
     std::vector<uint32_t> heard {};
 };
 
