Count each node on one side while relays are in doubt, and stop holders that were paused

What callers would see: more requests of a workspace than its limit allows, by up to a sixth, for seconds. Cause: (1) a holder that was paused, and was replaced meanwhile, counted itself in an outage of the registry while the successors counted it as well; (2) a node that asked a former holder and a present one was counted by both. Change: a holder that made no decision for 3 s issues nothing until it is confirmed. A node states the term of its roster and for how long it has asked no former holder; it counts where the term is the same, and after 6 s. A node with a later term ends the part of a holder.

--- a/Libraries/Gateway/RegistryRelay.h
+++ b/Libraries/Gateway/RegistryRelay.h
@@ -54,6 +54,10 @@
     std::optional<uint64_t> configuration {};
     /// Address of the follower for other nodes; empty while the registry holds no roster of relays.
     std::string address {};
+    /// With an address: term of the roster that the follower holds, and the time since its start and since the last
+    /// answer of a relay that the roster does not name, by the clock that includes suspension.
+    uint64_t term { 0 };
+    Milliseconds settledFor {};
 };
 
 /// The registry's entries and recent changes, held for nodes that follow this one instead of the registry.
--- a/Libraries/Gateway/RegistrySync.cpp
+++ b/Libraries/Gateway/RegistrySync.cpp
@@ -47,20 +47,24 @@
 {
     for (auto& address : topology.relays) {
         if (address != topology.ownRelay)
-            this->relays.push_back(std::make_shared<Relay>(Relay { std::move(address), {}, {}, 0, 0, {} }));
+            this->relays.push_back(std::make_shared<Relay>(Relay { std::move(address), {}, {}, 0, 0, {}, {} }));
     }
 }
 
 void RegistrySync::setRelays(std::vector<std::string> const& addresses)
 {
     auto const before = std::exchange(this->relays, {});
+    for (auto const& relay : before) {
+        if (std::find(addresses.begin(), addresses.end(), relay->address) == addresses.end())
+            this->settledSince = std::max(this->settledSince, relay->answeredAt);
+    }
     for (auto const& address : addresses) {
         if (address == this->ownAddress)
             continue;
         auto const known = std::find_if(
             before.begin(), before.end(), [&address](auto const& relay) { return relay->address == address; });
         this->relays.push_back(
-            known == before.end() ? std::make_shared<Relay>(Relay { address, {}, {}, 0, 0, {} }) : *known);
+            known == before.end() ? std::make_shared<Relay>(Relay { address, {}, {}, 0, 0, {}, {} }) : *known);
     }
     this->relayCount = addresses.size();
     bool const wasRelay = this->isRelay;
@@ -72,6 +76,15 @@
 
 bool RegistrySync::followsRelay() const { return this->now() - this->followedAt <= maximumStaleness; }
 
+void RegistrySync::onAnsweredBy(Relay& relay)
+{
+    relay.answeredAt = this->bootTime();
+    bool const isPresent = std::any_of(
+        this->relays.begin(), this->relays.end(), [&relay](auto const& entry) { return entry.get() == &relay; });
+    if (!isPresent)
+        this->settledSince = relay.answeredAt;
+}
+
 Milliseconds RegistrySync::bootTime() const { return this->hooks.bootTime ? this->hooks.bootTime() : this->now(); }
 
 void RegistrySync::onConfirmed(Milliseconds at)
@@ -179,6 +192,7 @@
 
 void RegistrySync::start()
 {
+    this->settledSince = this->bootTime();
     this->updateNodes({});
     bool const follows = !this->isRelay && !this->relays.empty();
     this->list(follows ? Freshness::Stale : Freshness::Latest);
@@ -252,8 +266,11 @@
     // A registry that was never restored shows no older configuration.
     if (this->position.era > 0)
         request.configuration = this->gateway.version();
-    if (this->hasRoster)
+    if (auto const term = this->hooks.rosterTerm ? this->hooks.rosterTerm() : 0; term > 0) {
         request.address = this->ownAddress;
+        request.term = term;
+        request.settledFor = this->bootTime() - this->settledSince;
+    }
     return request;
 }
 
@@ -270,6 +287,8 @@
 
 void RegistrySync::onPolled(std::shared_ptr<Relay> const& relay, RelayUpdate&& update, Milliseconds askedAt)
 {
+    if (update.status != RegistryStatus::Failed)
+        this->onAnsweredBy(*relay);
     if (update.status == RegistryStatus::Ok) {
         this->applyObservations(update.observations);
         relay->followers = update.followers;
@@ -460,6 +479,8 @@
 
 void RegistrySync::onFollowed(Relay& relay, RelayUpdate&& update, Milliseconds askedAt)
 {
+    if (update.status != RegistryStatus::Failed)
+        this->onAnsweredBy(relay);
     if (update.status == RegistryStatus::Ok) {
         this->applyObservations(update.observations);
         relay.followers = update.followers;
@@ -577,7 +598,9 @@
 void RegistrySync::verifyOutage()
 {
     for (auto const& relay : this->relays) {
-        this->hooks.follow(relay->address, this->requestTo(*relay, {}), [this](RelayUpdate&& update) {
+        this->hooks.follow(relay->address, this->requestTo(*relay, {}), [this, relay](RelayUpdate&& update) {
+            if (update.status != RegistryStatus::Failed)
+                this->onAnsweredBy(*relay);
             bool const isRecent = update.status == RegistryStatus::Ok && update.age <= maximumStaleness
                 && update.position.era == this->position.era;
             if (isRecent)
--- a/Libraries/Gateway/RegistrySync.h
+++ b/Libraries/Gateway/RegistrySync.h
@@ -50,6 +50,8 @@
         /// The registry holds this roster of relays, none when it is empty, as of the revision of its entry. May be
         /// empty.
         std::function<void(std::optional<RelayRoster> const&, uint64_t revision)> rosterRead {};
+        /// Term of the roster in force, 0 without one. May be empty.
+        std::function<uint64_t()> rosterTerm {};
         /// Time of the clock that includes suspension; may be empty.
         std::function<Milliseconds()> bootTime {};
         /// The registry has confirmed the state that this node now holds, as of that time of the clock that includes
@@ -127,6 +129,8 @@
         uint64_t lastObservation { 0 };
         /// Age of the relay's state at its last answer.
         Milliseconds staleness;
+        /// Time of its last answer, by the clock that includes suspension.
+        Milliseconds answeredAt;
     };
 
     void list(Freshness freshness);
@@ -173,6 +177,7 @@
     void logUnusable(UnusableEntry const& entry);
     void applyNodeCount(std::string const& key, NodeCountPut const& put);
     void applyRoster(RegistryEvent const& event, RosterPut const& put);
+    void onAnsweredBy(Relay& relay);
     Milliseconds bootTime() const;
     /// `at`: time at which the call was sent.
     void onConfirmed(Milliseconds at);
@@ -186,6 +191,8 @@
     /// The other relays. A call to one that is replaced meanwhile keeps it.
     std::vector<std::shared_ptr<Relay>> relays;
     std::string ownAddress;
+    /// Start of this node, or last answer of a relay that is none any more, by the clock that includes suspension.
+    Milliseconds settledSince;
     bool isRelay;
     uint32_t followers { 0 };
     size_t relayCount;
--- a/Libraries/GatewayNode/GatewayServer.cpp
+++ b/Libraries/GatewayNode/GatewayServer.cpp
@@ -171,8 +171,8 @@
     relayHooks.quota = [this](QuotaRequest const& request, std::function<void(QuotaAnswer &&)> done) {
         return this->answerQuota(request, std::move(done));
     };
-    relayHooks.followed = [this](std::string const& node, std::string const& address) {
-        this->issuing.onNodeHeard(node, Clock::bootTime());
+    relayHooks.followed = [this](IssuingShare::Asking const& asking, std::string const& address) {
+        this->issuing.onNodeHeard(asking, Clock::bootTime());
         if (!address.empty())
             this->succession.onFollower(address, Clock::now());
     };
@@ -194,6 +194,7 @@
     };
     registryHooks.rosterRead
         = [this](std::optional<RelayRoster> const& roster, uint64_t revision) { this->applyRoster(roster, revision); };
+    registryHooks.rosterTerm = [this] { return this->succession.roster() ? this->succession.roster()->term : 0; };
     registryHooks.bootTime = [] { return Clock::bootTime(); };
     registryHooks.confirmed = [this](Milliseconds at) { this->issuing.onConfirmed(at); };
     registryHooks.confirmedAge
@@ -354,7 +355,6 @@
 
 bool GatewayServer::answerQuota(QuotaRequest const& request, std::function<void(QuotaAnswer&&)> done)
 {
-    this->issuing.onNodeHeard(request.node, Clock::bootTime());
     if (!this->applyIssuingShare())
         return false;
     this->quotaIssuer->handle(request, std::move(done));
--- a/Libraries/GatewayNode/RelayClient.cpp
+++ b/Libraries/GatewayNode/RelayClient.cpp
@@ -45,8 +45,12 @@
     uri.addQueryParameter(RelayServer::compactParameter, "1");
     if (!this->node.empty())
         uri.addQueryParameter(RelayServer::nodeParameter, this->node);
-    if (!request.address.empty())
+    if (!request.address.empty()) {
         uri.addQueryParameter(RelayServer::addressParameter, request.address);
+        uri.addQueryParameter(RelayServer::termParameter, std::to_string(request.term));
+        uri.addQueryParameter(
+            RelayServer::settledParameter, std::to_string(static_cast<uint64_t>(request.settledFor.value)));
+    }
     this->call(relay, uri.getPathAndQuery(), std::move(done));
 }
 
--- a/Libraries/GatewayNode/RelayServer.cpp
+++ b/Libraries/GatewayNode/RelayServer.cpp
@@ -91,8 +91,10 @@
         else if (uri.getPath() == changesPath && revision) {
             if (auto const node = readText(uri, nodeParameter); !node.empty()) {
                 this->nodeCounter.onSeen(node, Clock::now());
+                auto const settled = static_cast<double>(readNumber(uri, settledParameter).value_or(0));
                 if (this->hooks.followed)
-                    this->hooks.followed(node, readText(uri, addressParameter));
+                    this->hooks.followed({ node, readNumber(uri, termParameter).value_or(0), { settled } },
+                        readText(uri, addressParameter));
             }
             this->answerChanges(session,
                 { { readNumber(uri, eraParameter).value_or(0), *revision }, readNumber(uri, "observation").value_or(0),
--- a/Libraries/GatewayNode/RelayServer.h
+++ b/Libraries/GatewayNode/RelayServer.h
@@ -33,8 +33,11 @@
     static constexpr Milliseconds maximumWait { 800 };
     /// Query parameter of a request for changes: the name of the node, which is counted.
     static constexpr auto nodeParameter = "node";
-    /// Query parameter of a request for changes: the address of the node for other nodes.
+    /// Query parameters of a request for changes: the address of the node for other nodes, the term of the roster that
+    /// it holds, and RelayRequest::settledFor in milliseconds.
     static constexpr auto addressParameter = "address";
+    static constexpr auto termParameter = "term";
+    static constexpr auto settledParameter = "settled";
     /// Query parameter of a report that a relay sends; it is not passed on to other relays.
     static constexpr auto relayedParameter = "relayed";
 
@@ -52,7 +55,7 @@
         /// issues none. May be empty.
         std::function<bool(QuotaRequest const&, std::function<void(QuotaAnswer&&)> done)> quota {};
         /// A node has asked for changes; its address is empty when it states none. May be empty.
-        std::function<void(std::string const& node, std::string const& address)> followed {};
+        std::function<void(IssuingShare::Asking const&, std::string const& address)> followed {};
         /// Another relay has heard these nodes. May be empty.
         std::function<void(std::span<uint32_t const>)> heard {};
         /// The answer to statusPath.
--- a/Libraries/Succession/IssuingShare.cpp
+++ b/Libraries/Succession/IssuingShare.cpp
@@ -54,9 +54,14 @@
     return !isReplaceable;
 }
 
-void IssuingShare::onNodeHeard(std::string_view node, Milliseconds now)
+void IssuingShare::onNodeHeard(Asking const& asking, Milliseconds now)
 {
-    this->heardAt[static_cast<uint32_t>(hash64(node))] = now;
+    if (!this->roster)
+        return;
+    if (asking.term > this->roster->term)
+        this->resignedAt = now;
+    else if (asking.term == this->roster->term && asking.settledFor >= heardTime)
+        this->heardAt[static_cast<uint32_t>(hash64(asking.node))] = now;
 }
 
 void IssuingShare::onReport(std::span<uint32_t const> nodes, Milliseconds now)
@@ -95,6 +100,10 @@
     auto const held = static_cast<double>(std::count(slots.begin(), slots.end(), this->options.own));
     if (!this->roster)
         return held / count;
+    // After a pause, this node may have been replaced, and the others hear it again at once.
+    if (this->lastDecision && now - *this->lastDecision > certainTime)
+        this->resignedAt = now;
+    this->lastDecision = now;
     bool const isCertain = this->isCertain(now);
     if (isCertain || !this->confirmedAt)
         this->knownNodes = std::max(nodes, this->confirmedAt ? 0 : this->knownNodes);
--- a/Libraries/Succession/IssuingShare.h
+++ b/Libraries/Succession/IssuingShare.h
@@ -50,14 +50,25 @@
     /// Whether this node answers that it runs. One that was not confirmed for longer than any call takes, while the
     /// registry answers others, is to be replaced: it answers no, and issues nothing until it is confirmed.
     bool answerProbe(Asker asker, Milliseconds now);
-    /// Another node has asked this one for changes or tokens.
-    void onNodeHeard(std::string_view node, Milliseconds now);
+    /// What a node states of itself when it asks a relay for changes.
+    struct Asking {
+        std::string_view node;
+        /// Term of the roster that it holds.
+        uint64_t term { 0 };
+        /// Time since its start, and since the last answer of a relay that its roster does not name.
+        Milliseconds settledFor {};
+    };
+    /// Another node has asked this one for changes. It counts when it holds the same roster and has asked no former
+    /// holder for so long that none counts it any more. One with a later roster shows that this node may have been
+    /// replaced.
+    void onNodeHeard(Asking const& asking, Milliseconds now);
     /// Another relay has heard these nodes, recentlyHeard().
     void onReport(std::span<uint32_t const> nodes, Milliseconds now);
     /// Hashes of the nodes that this one has heard itself within the last seconds, for the other relays.
     std::vector<uint32_t> recentlyHeard(Milliseconds now) const;
 
-    /// Between 0 and 1. `nodes` is an upper estimate of the number of nodes, 0 when it is not known.
+    /// Between 0 and 1. `nodes` is an upper estimate of the number of nodes, 0 when it is not known. To be called at
+    /// least each second: after a longer gap the process was paused, and issues nothing until it is confirmed.
     double share(uint32_t nodes, Milliseconds now);
     /// Whether the registry has confirmed the roster recently.
     bool isCertain(Milliseconds now) const;
@@ -72,6 +83,7 @@
     std::optional<RelayRoster> roster;
     std::optional<Milliseconds> confirmedAt;
     std::optional<Milliseconds> resignedAt;
+    std::optional<Milliseconds> lastDecision;
     /// Time since which this node holds each slot that was taken from another one.
     std::map<size_t, Milliseconds> takenAt;
     /// Number of nodes while the roster was confirmed.
--- a/Tests/Succession/SuccessionWorld.h
+++ b/Tests/Succession/SuccessionWorld.h
@@ -33,6 +33,9 @@
         Milliseconds followedAt { -100000 };
         Milliseconds connectedAt { -100000 };
         uint32_t knownNodes { 0 };
+        Milliseconds settledSince {};
+        /// Last answer of each relay.
+        std::map<std::string, Milliseconds> answeredAt {};
         std::unique_ptr<RelaySuccession> succession {};
         std::unique_ptr<IssuingShare> issuing {};
     };
@@ -61,6 +64,8 @@
         node.isLoaded = false;
         node.followedAt = node.connectedAt = { -100000 };
         node.knownNodes = 0;
+        node.settledSince = this->now;
+        node.answeredAt.clear();
         node.succession = std::make_unique<RelaySuccession>(
             RelaySuccession::Options { node.address, node.configured, [this] { return this->uniform(); } });
         node.issuing = std::make_unique<IssuingShare>(
@@ -119,6 +124,19 @@
         return to && to->runs && !to->isPaused && to->side == from.side;
     }
 
+    void apply(std::optional<RelayRoster> const& roster, Node& node)
+    {
+        node.succession->onRoster(roster, node.seenRevision, node.steady);
+        if (auto const* const current = node.succession->roster())
+            node.issuing->onRoster(*current, this->now);
+        auto const relays = node.succession->relays();
+        std::erase_if(node.answeredAt, [&](auto const& entry) {
+            bool const isFormer = std::find(relays.begin(), relays.end(), entry.first) == relays.end();
+            if (isFormer)
+                node.settledSince = std::max(node.settledSince, entry.second);
+            return isFormer;
+        });
+    }
     /// A node that doesn't reach the registry takes the state of a relay.
     void copy(Node& relay, Node& node)
     {
@@ -126,8 +144,7 @@
         node.knownNodes = relay.knownNodes;
         if (node.seenRevision < relay.seenRevision) {
             node.seenRevision = relay.seenRevision;
-            node.succession->onRoster(*relay.succession->roster(), node.seenRevision, node.steady);
-            node.issuing->onRoster(*relay.succession->roster(), this->now);
+            this->apply(*relay.succession->roster(), node);
         }
         if (auto const age = relay.issuing->confirmedAge(this->now))
             node.issuing->onConfirmed(this->now - *age);
@@ -142,7 +159,10 @@
             auto* const relay = this->find(address);
             if (relay == &node || !this->reaches(node, relay))
                 continue;
-            relay->issuing->onNodeHeard(node.address, this->now);
+            auto const* const roster = node.succession->roster();
+            relay->issuing->onNodeHeard(
+                { node.address, roster ? roster->term : 0, this->now - node.settledSince }, this->now);
+            node.answeredAt[address] = this->now;
             if (relay->succession->isRelay() && this->now - relay->connectedAt <= 2400_ms) {
                 relay->succession->onFollower(node.address, relay->steady);
                 hasRelay = true;
@@ -164,9 +184,7 @@
             node.isLoaded = true;
             if (node.seenRevision != this->revision) {
                 node.seenRevision = this->revision;
-                node.succession->onRoster(this->stored, this->revision, node.steady);
-                if (auto const* const roster = node.succession->roster())
-                    node.issuing->onRoster(*roster, this->now);
+                this->apply(this->stored, node);
             }
             node.issuing->onConfirmed(this->now - 100_ms);
         }
--- a/Tests/Succession/TestSuccession.cpp
+++ b/Tests/Succession/TestSuccession.cpp
@@ -5,12 +5,52 @@
 
 using namespace Toucan;
 
-TEST_GROUP(Succession) { static void settleFirst(SuccessionWorld & world) { world.run(5000_ms);
-CHECK(world.stored.has_value());
-DOUBLES_EQUAL(1, world.sumOfShares(), 1e-9);
+static void settleFirst(SuccessionWorld& world)
+{
+    world.run(5000_ms);
+    CHECK(world.stored.has_value());
+    DOUBLES_EQUAL(1, world.sumOfShares(), 1e-9);
 }
+
+/// Plays random partitions, pauses, restarts, other settings and outages, and checks the sum of shares throughout.
+static void playSeed(uint64_t seed)
+{
+    SuccessionWorld world(seed, 4 + seed % 9, 1 + seed % 4);
+    settleFirst(world);
+    auto const connectedSide = static_cast<int>(world.uniform() * 2);
+    double const otherShare = world.uniform();
+    for (auto& node : world.nodes) {
+        node.side = world.uniform() < otherShare ? 1 : 0;
+        node.registryAccess = node.side == connectedSide ? 1 : std::max(0.0, world.uniform() - 0.5);
+    }
+    for (int event = 0; event < 12; ++event) {
+        world.run(Milliseconds { 15000 * world.uniform() });
+        auto const index = static_cast<size_t>(world.uniform() * static_cast<double>(world.nodes.size()));
+        auto& node = world.nodes[index];
+        auto const kind = world.uniform();
+        if (kind < 0.2) {
+            node.isPaused = true;
+        } else if (kind < 0.5) {
+            node.isPaused = false;
+            if (!node.runs)
+                world.start(index);
+        } else if (kind < 0.7) {
+            node.runs = false;
+        } else if (kind < 0.8) {
+            node.configured = { node.address, world.nodes.back().address };
+            world.start(index);
+        } else if (kind < 0.9) {
+            world.registryRuns = !world.registryRuns;
+        }
+    }
+    world.run(100000_ms);
+    if (world.largestSum > 1 + 1e-9)
+        printf("seed %lu: %.3f at %.1f s\n", static_cast<unsigned long>(seed), world.largestSum,
+            world.largestSumAt.value / 1000);
+    CHECK(world.largestSum <= 1 + 1e-9);
 }
-;
+
+TEST_GROUP(Succession) {};
 
 // Guards against writes while all relays run: each is billed.
 TEST(Succession, RosterIsWrittenOnce)
@@ -108,41 +148,41 @@
 // restarted relays, other settings, an outage.
 TEST(Succession, SharesNeverAddUpToMoreThanTheLimit)
 {
-    for (uint64_t seed = 1; seed <= 300; ++seed) {
-        SuccessionWorld world(seed, 4 + seed % 9, 1 + seed % 4);
-        settleFirst(world);
-        auto const connectedSide = static_cast<int>(world.uniform() * 2);
-        double const otherShare = world.uniform();
-        for (auto& node : world.nodes) {
-            node.side = world.uniform() < otherShare ? 1 : 0;
-            node.registryAccess = node.side == connectedSide ? 1 : std::max(0.0, world.uniform() - 0.5);
-        }
-        for (int event = 0; event < 12; ++event) {
-            world.run(Milliseconds { 15000 * world.uniform() });
-            auto const index = static_cast<size_t>(world.uniform() * static_cast<double>(world.nodes.size()));
-            auto& node = world.nodes[index];
-            auto const kind = world.uniform();
-            if (kind < 0.2) {
-                node.isPaused = true;
-            } else if (kind < 0.5) {
-                node.isPaused = false;
-                if (!node.runs)
-                    world.start(index);
-            } else if (kind < 0.7) {
-                node.runs = false;
-            } else if (kind < 0.8) {
-                node.configured = { node.address, world.nodes.back().address };
-                world.start(index);
-            } else if (kind < 0.9) {
-                world.registryRuns = !world.registryRuns;
-            }
-        }
-        world.run(100000_ms);
-        if (world.largestSum > 1 + 1e-9)
-            printf("seed %lu: %.3f at %.1f s\n", static_cast<unsigned long>(seed), world.largestSum,
-                world.largestSumAt.value / 1000);
-        CHECK(world.largestSum <= 1 + 1e-9);
-    }
+    for (uint64_t seed = 1; seed <= 300; ++seed)
+        playSeed(seed);
+    // Paused holders that come back in an outage, and nodes that ask holders of two rosters.
+    for (uint64_t const seed : { 1306, 4465, 4581, 5229, 8633, 10170, 16951, 18126, 18751, 19311 })
+        playSeed(seed);
+}
+
+// Guards against a holder that goes on after a pause, in which it may have been replaced.
+TEST(Succession, PausedHolderIssuesNothingUntilItIsConfirmed)
+{
+    IssuingShare issuing({ "a", { "a" }, 0_ms, "node-a" });
+    issuing.onRoster({ 1, { "a" } }, 0_ms);
+    issuing.onConfirmed(0_ms);
+    DOUBLES_EQUAL(1, issuing.share(1, 100_ms), 0);
+    DOUBLES_EQUAL(0, issuing.share(1, 10000_ms), 0);
+    DOUBLES_EQUAL(0, issuing.share(1, 10500_ms), 0);
+    issuing.onConfirmed(10500_ms);
+    DOUBLES_EQUAL(1, issuing.share(1, 11000_ms), 0);
+}
+
+// Guards against nodes that count on two sides: one that a former holder may still count, one with an older roster; and
+// against a holder that goes on although a node knows of its successor.
+TEST(Succession, OnlySettledNodesOfTheSameRosterCount)
+{
+    IssuingShare issuing({ "a", { "a" }, 0_ms, "node-a" });
+    issuing.onRoster({ 5, { "a" } }, 0_ms);
+    issuing.onConfirmed(0_ms);
+    for (int time = 0; time <= 4000; time += 500)
+        issuing.share(4, Milliseconds { static_cast<double>(time) });
+    issuing.onNodeHeard({ "node-b", 5, 7000_ms }, 4000_ms);
+    issuing.onNodeHeard({ "node-c", 5, 2000_ms }, 4000_ms);
+    issuing.onNodeHeard({ "node-d", 4, 7000_ms }, 4000_ms);
+    DOUBLES_EQUAL(0.5, issuing.share(4, 4100_ms), 0);
+    issuing.onNodeHeard({ "node-b", 6, 7000_ms }, 4200_ms);
+    DOUBLES_EQUAL(0, issuing.share(4, 4300_ms), 0);
 }
 
 // Guards against an older list of relays that a restored registry brings back.
