--- a/Tests/Gateway/TestRegistrySync.cpp
+++ b/Tests/Gateway/TestRegistrySync.cpp
@@ -35,7 +35,7 @@
             this->watches.emplace_back(position.revision, std::move(done));
         };
         result.follow
-            = [this](std::string const& relay, RelayRequest request, std::function<void(RelayUpdate &&)> done) {
+            = [this](std::string const& relay, RelayRequest const& request, std::function<void(RelayUpdate &&)> done) {
                   this->relayRequests.push_back(request);
                   this->follows.emplace_back(relay, std::move(done));
               };
@@ -785,8 +785,9 @@
     std::vector<std::string> calls;
     auto recording = hooks();
     recording.confirmed = [&calls](Milliseconds) { calls.emplace_back("confirmed"); };
-    recording.rosterRead
-        = [&calls](std::optional<RelayRoster> const& roster, uint64_t) { calls.push_back(roster ? "roster" : "none"); };
+    recording.rosterRead = [&calls](std::optional<RelayRoster> const& roster, uint64_t) {
+        calls.emplace_back(roster ? "roster" : "none");
+    };
     RegistrySync node { fixture.gateway, { { "relay-1" }, "relay-1", "relay-1" }, recording };
     node.start();
     lists.back()(reply(5, { RosterPut { RelayRoster { 1, { "relay-1" } }, {} } }));
