Keep the grace period of a restoration when an outage before it is refuted

What callers would see: targets that register again after a restoration of the registry are not used for up to 2.2 s, when a relay lost its own path just before. Cause: a refuted outage released the removals that were deferred until the later of the two ends. Found by reading. Besides, a failed call counted as the begin of a loss until this node's next own call, also when it had followed a relay since. Change: nothing is released while a restoration is less than 2.2 s ago; later contact of another node ends the own loss. Result: RefutedOutageKeepsTheGraceOfARestoration fails without the condition (1 target, 2 expected) and passes; LaterContactOfOthersEndsTheOwnLoss; 51 tests of the registry pass.

--- a/Libraries/Gateway/RegistryContact.cpp
+++ b/Libraries/Gateway/RegistryContact.cpp
@@ -22,7 +22,7 @@
 
 RegistryContact::Verdict RegistryContact::onAnswered(Milliseconds now)
 {
-    bool const hadFailed = std::exchange(this->hasFailed, false);
+    bool const hadFailed = std::exchange(this->failedAt, std::nullopt).has_value();
     if (!this->contact) {
         this->contact = Span { now, now };
         return Verdict::Unchanged;
@@ -52,6 +52,9 @@
         return this->beginOutage(span.from, span.until);
     this->contact->from = std::min(this->contact->from, span.from);
     this->contact->until = std::max(this->contact->until, span.until);
+    // A later answer of this node does not end the loss of its own path, which the other node's contact has covered.
+    if (this->failedAt && span.until > *this->failedAt)
+        this->failedAt.reset();
     return Verdict::Unchanged;
 }
 
--- a/Libraries/Gateway/RegistryContact.h
+++ b/Libraries/Gateway/RegistryContact.h
@@ -26,13 +26,19 @@
     };
 
     /// A call of this node failed.
-    void onFailed() { this->hasFailed = true; }
+    void onFailed(Milliseconds now) { this->failedAt = now; }
     /// A call of this node was answered.
     Verdict onAnswered(Milliseconds now);
     /// Another node states its contact, and when it believes an outage ended.
     Verdict onSpan(Span span, std::optional<Milliseconds> itsOutageEndedAt = {});
     /// The registry was restored from a copy, which no other node's contact refutes.
     void onRestored(Milliseconds now) { this->restoredAt = now; }
+    /// Whether removals are to be deferred: an outage or a restoration was less than the grace period ago.
+    bool isInGrace(Milliseconds now) const
+    {
+        auto const ended = this->outageEndedAt();
+        return ended && now - *ended < grace;
+    }
 
     /// Time after the end of an outage in which live targets register again.
     static constexpr Milliseconds grace { 2200 };
@@ -62,7 +68,8 @@
     Verdict beginOutage(Milliseconds endedAt, Milliseconds until);
 
     std::optional<Span> contact;
-    bool hasFailed { false };
+    /// Time of the last failed call, while no later contact is known.
+    std::optional<Milliseconds> failedAt;
     std::optional<Outage> outage;
     std::optional<Milliseconds> restoredAt;
 };
--- a/Libraries/Gateway/RegistrySync.cpp
+++ b/Libraries/Gateway/RegistrySync.cpp
@@ -184,7 +184,7 @@
 void RegistrySync::onFailure(std::string const& reason, std::string_view call)
 {
     ++this->failures;
-    this->contact.onFailed();
+    this->contact.onFailed(this->now());
     this->context.metrics.count("registry_failures");
     if (!this->connected && this->failures > 1)
         return;
@@ -217,9 +217,7 @@
 
 TargetDirectory::Removal RegistrySync::removal() const
 {
-    auto const ended = this->contact.outageEndedAt();
-    bool const afterOutage = ended && this->now() - *ended < expiredEntryGrace;
-    return afterOutage ? TargetDirectory::Removal::Deferred : TargetDirectory::Removal::AtOnce;
+    return this->contact.isInGrace(this->now()) ? TargetDirectory::Removal::Deferred : TargetDirectory::Removal::AtOnce;
 }
 
 Milliseconds RegistrySync::keepUntil() const
--- a/Libraries/Gateway/RegistrySyncRelays.cpp
+++ b/Libraries/Gateway/RegistrySyncRelays.cpp
@@ -293,7 +293,8 @@
             this->verifyOutage();
         return;
     }
-    if (endedBefore)
+    // What is deferred after a restoration stays so.
+    if (endedBefore && !this->contact.isInGrace(this->now()))
         this->context.directory.releaseDeferred(*endedBefore + expiredEntryGrace, this->now());
     this->scheduleExpiry();
     // Followers took this relay's word for the outage.
--- a/Tests/Gateway/TestRegistrySync.cpp
+++ b/Tests/Gateway/TestRegistrySync.cpp
@@ -795,6 +795,26 @@
     CHECK(calls == (std::vector<std::string> { "confirmed", "roster", "confirmed", "roster" }));
 }
 
+// Guards against targets that are lost because a refuted outage ends the grace period of a restoration after it.
+TEST(RegistrySync, RefutedOutageKeepsTheGraceOfARestoration)
+{
+    relay.start();
+    lists.at(0)(reply(5, { target("t1"), target("t2") }));
+    fixture.advance(60000_ms);
+    watches.at(0).second(failure());
+    follows.at(0).second(failedUpdate(RegistryStatus::Failed));
+    fixture.advance(1000_ms);
+    watches.at(1).second(reply(5, {}));
+    auto const verification = follows.size() - 1;
+    watches.at(2).second(ofEra(1, reply(4, {})));
+    lists.at(1)(ofEra(1, reply(4, { target("t1") })));
+    follows.at(verification).second(ofEra(1, connected(update(4, {}, 100_ms), 70000_ms)));
+    CHECK(logged("registry-outage-refuted"));
+    LONGS_EQUAL(2, targets());
+    fixture.advance(3000_ms);
+    LONGS_EQUAL(1, targets());
+}
+
 TEST_GROUP(RegistryContact)
 {
     using Verdict = RegistryContact::Verdict;
@@ -818,7 +838,7 @@
 // Guards against evidence that covers a part of the time only, or is of after it.
 TEST(RegistryContact, OnlyContactOverTheWholeTimeRefutes)
 {
-    contact.onFailed();
+    contact.onFailed(11000_ms);
     CHECK(contact.onAnswered(16000_ms) == Verdict::Outage);
     CHECK(contact.onSpan({ 10100_ms, 16000_ms }) == Verdict::Unchanged);
     DOUBLES_EQUAL(16000, contact.outageEndedAt()->value, 0);
@@ -830,16 +850,16 @@
 // Guards against a second loss that makes the first one, of which removals still wait, look refuted.
 TEST(RegistryContact, EvidenceMustCoverAnEarlierOutageAsWell)
 {
-    contact.onFailed();
+    contact.onFailed(11000_ms);
     contact.onAnswered(16000_ms);
-    contact.onFailed();
+    contact.onFailed(16500_ms);
     contact.onAnswered(17000_ms);
     CHECK(contact.onSpan({ 15000_ms, 17000_ms }) == Verdict::Unchanged);
     CHECK(contact.onSpan({ 9500_ms, 17000_ms }) == Verdict::Refuted);
     // One that is long over does not matter.
-    contact.onFailed();
+    contact.onFailed(25000_ms);
     contact.onAnswered(30000_ms);
-    contact.onFailed();
+    contact.onFailed(35000_ms);
     contact.onAnswered(40000_ms);
     CHECK(contact.onSpan({ 29000_ms, 40000_ms }) == Verdict::Refuted);
 }
@@ -847,13 +867,23 @@
 // Guards against the contact of others that ends an outage of this node's own path before it has ended.
 TEST(RegistryContact, ContactOfOthersDuringACut)
 {
-    contact.onFailed();
+    contact.onFailed(12500_ms);
     CHECK(contact.onSpan({ 2000_ms, 12000_ms }) == Verdict::Unchanged);
     DOUBLES_EQUAL(12000, contact.last()->value, 0);
     CHECK(contact.onAnswered(13000_ms) == Verdict::Outage);
     CHECK(contact.onSpan({ 2000_ms, 13000_ms }) == Verdict::Refuted);
 }
 
+// Guards against an outage that is seen when a node asks the registry again long after a failed call, while it has
+// followed a relay.
+TEST(RegistryContact, LaterContactOfOthersEndsTheOwnLoss)
+{
+    contact.onFailed(11000_ms);
+    CHECK(contact.onSpan({ 2000_ms, 12000_ms }) == Verdict::Unchanged);
+    CHECK(contact.onAnswered(60000_ms) == Verdict::Unchanged);
+    CHECK_FALSE(contact.isInGrace(60000_ms));
+}
+
 TEST_GROUP(RegistryRelay)
 {
     RegistryRelay relay;
