--- a/Libraries/Gateway/RegistryRelay.h
+++ b/Libraries/Gateway/RegistryRelay.h
@@ -88,7 +88,7 @@
 
     /// Calls `waiter` once, at the next change. Returns a number for cancelWait().
     uint64_t waitForChange(Waiter waiter);
-    /// Calls all waiters, for news of another kind.
+    /// Answers all waiting followers, because what this relay states of its contact to the registry has changed.
     void wake();
     void cancelWait(uint64_t number) { this->waiters.erase(number); }
 
--- a/Libraries/Succession/RelaySuccession.h
+++ b/Libraries/Succession/RelaySuccession.h
@@ -56,7 +56,7 @@
     /// Addresses of the relays, each once.
     std::vector<std::string> relays() const;
     bool isRelay() const;
-    /// The relays other than this node that answer, as far as this node knows, precede it in the list.
+    /// Whether this node is a relay, and no relay before it in the list answers.
     bool isFirstRunning() const;
 
     /// Relays that should be asked now whether they run.
@@ -76,14 +76,20 @@
         uint32_t probes { 0 };
     };
 
-    /// Relays other than this node that have not answered for so long that they are to be replaced; empty when some
-    /// of them still may.
+    /// Relays other than this node that have not answered for so long that they are to be replaced. For a node that is
+    /// no relay, empty while any relay may still run.
     std::vector<std::string> lostRelays(Milliseconds now) const;
+    /// Whether the relay has been silent for the time and number of questions after which this node replaces it.
     bool isLost(std::string const& relay, Milliseconds now) const;
+    /// The first roster, from the relays of the settings.
     std::optional<Write> firstRoster(Conditions const& conditions, Milliseconds now);
+    /// Cancels a claim that names this node; ends or withdraws a claim of this node.
     std::optional<Write> decideOnClaim(Conditions const& conditions, Milliseconds now) const;
+    /// Claims the slots of relays that are lost.
     std::optional<Write> claim(Milliseconds now);
+    /// Ends the time in which taken slots issue in part, when their former holders have ended for sure.
     std::optional<Write> settle(Milliseconds now) const;
+    /// Gives one of several slots of this node to a follower, in two writes.
     std::optional<Write> handOver(Milliseconds now);
     std::optional<Write> fillVacancy(Milliseconds now) const;
     /// A node that asks this one for changes and holds no slot; empty when there is none.
