--- a/Tests/PlatformAdapter/TestRegistryHistories.cpp
+++ b/Tests/PlatformAdapter/TestRegistryHistories.cpp
@@ -288,7 +288,7 @@
         hooks.follow
             = [this](std::string const& relay, RelayRequest request, std::function<void(RelayUpdate &&)> done) {
                   if (this->alive)
-                      this->client->follow(relay, request, std::move(done));
+                      this->client->follow(relay, std::move(request), std::move(done));
               };
         hooks.copy = [this](std::string const& relay, std::function<void(RelayUpdate &&)> done) {
             if (this->alive)
