Review: a dead idle connection to the store delays a new configuration beyond config_apply_ms

A follower that leaves its relay after 2.4 s watches the store on the connection of its first read. When that connection has gone silent, the watch fails only 2 s later.

--- a/review/lib-3/fleet.py
+++ b/review/lib-3/fleet.py
@@ -117,6 +117,8 @@
         self.revision = 100
         self.compacted = 100
         self.away = {}
+        self.connections = set()
+        self.stopped = threading.Event()
         self.doors = {}
         # The sheets say 4 ms an answer.
         self.answer_s = 0.004
@@ -128,10 +130,28 @@
         class StoreHandler(Handler):
             """One call of that node."""
 
+            def setup(self):
+                super().setup()
+                self.is_busy = self.is_silent = False
+                self.used_at = time.monotonic()
+                with store.condition:
+                    store.connections.add(self)
+
+            def finish(self):
+                with store.condition:
+                    store.connections.discard(self)
+                super().finish()
+
             def do_GET(self):  # pylint: disable=invalid-name
                 """Serves reads and writes."""
+                if self.is_silent:
+                    self.close_connection = True
+                    store.stopped.wait()
+                    return
+                self.is_busy = True
                 length = int(self.headers.get("Content-Length", 0))
                 store.serve(self, name, self.rfile.read(length) if length else b"")
+                self.is_busy, self.used_at = False, time.monotonic()
 
             do_POST = do_DELETE = do_GET
 
@@ -149,6 +169,15 @@
             for name in names:
                 self.doors[name].reset_connections()
 
+    def silence_idle_connections(self, idle_s):
+        """The connections without a call for that time carry nothing any more, in either direction; new ones work."""
+        before = time.monotonic() - idle_s
+        with self.condition:
+            idle = [each for each in self.connections if not each.is_busy and each.used_at < before]
+            for connection in idle:
+                connection.is_silent = True
+        return len(idle)
+
     def serve(self, call, name, body):
         """Answers one call, unless the node is turned away."""
         mode = self.away.get(name)
@@ -248,6 +277,7 @@
 
     def stop(self):
         """Ends all doors."""
+        self.stopped.set()
         for door in self.doors.values():
             door.stop()
 
