--- a/review/lib-3/fleet.py
+++ b/review/lib-3/fleet.py
@@ -312,12 +312,15 @@
 
     def register(self):
         """Writes the entry; returns the time of the confirmation."""
+        return self.store.put(f"servers/{self.identity}", self.entry())
+
+    def entry(self):
+        """The entry of its next ping."""
         with self.lock:
             self.sequence += 1
-            sequence = self.sequence
-        return self.store.put(f"servers/{self.identity}", {
-            "service": self.service, "addr": self.address, "zone": self.zone, "version": "1", "slots": self.slots,
-            "state": self.state, "warmup_left_ms": 0, "seq": sequence, "born": self.born})
+            return {"service": self.service, "addr": self.address, "zone": self.zone, "version": "1",
+                    "slots": self.slots, "state": self.state, "warmup_left_ms": 0, "seq": self.sequence,
+                    "born": self.born}
 
     def drain(self):
         """Reports that it drains; returns the time of the confirmation."""
